--- /dev/null
+++ b/Makefile
@@ -0,0 +1,42 @@
+PYTHON ?= python3.11
+VENV ?= .venv
+BIN = $(VENV)/bin
+JSON ?=
+JSON_OPTION = $(if $(JSON),--json $(JSON),)
+
+.PHONY: setup demo test lint unit model measure slopes soak docs
+
+setup: $(VENV)/.installed
+
+$(VENV)/.installed: pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -e '.[dev]'
+	touch $@
+
+demo: setup
+	$(BIN)/python -m bench.demo
+
+lint: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy
+
+unit: setup
+	$(BIN)/python -m pytest -n 6
+
+model: setup
+	$(BIN)/python -m spec.run
+
+test: lint model unit
+
+measure: setup
+	$(BIN)/python -m bench.measure $(JSON_OPTION)
+
+slopes: setup
+	$(BIN)/python -m bench.slopes $(JSON_OPTION)
+
+soak: setup
+	$(BIN)/python -m bench.soak
+
+docs: setup
+	$(BIN)/python -m bench.generate_docs
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measures, slopes, stand-ins and the demo."""
--- /dev/null
+++ b/bench/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the systems around balsamtide."""
--- /dev/null
+++ b/spec/__init__.py
@@ -0,0 +1,1 @@
+"""Models of the core protocol and the program that checks them."""
--- /dev/null
+++ b/src/balsamtide/__init__.py
@@ -0,0 +1,5 @@
+"""A layer-4 load balancer without shared state, and its parts as a library."""
+
+__all__ = ["__version__"]
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/src/balsamtide/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission: what starts on a target, what waits and what is refused."""
--- /dev/null
+++ b/src/balsamtide/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent beside a target: it ends flows and answers requests."""
--- /dev/null
+++ b/src/balsamtide/caller/__init__.py
@@ -0,0 +1,1 @@
+"""The caller library: requests with deadlines, verdicts and safe retries."""
--- /dev/null
+++ b/src/balsamtide/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command-line tool balsamctl."""
--- /dev/null
+++ b/src/balsamtide/config/__init__.py
@@ -0,0 +1,1 @@
+"""The numbered configuration: model, log, verdicts on entries, platform client."""
--- /dev/null
+++ b/src/balsamtide/daemon.py
@@ -0,0 +1,8 @@
+"""The daemon ``balsamtided``."""
+
+__all__ = ["main"]
+
+
+def main() -> int:
+    """Run the daemon and return its exit code."""
+    raise NotImplementedError
--- /dev/null
+++ b/src/balsamtide/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Membership: epidemic protocol, liveness, leases and choice of readers."""
--- /dev/null
+++ b/src/balsamtide/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Requests: ledger, hand-off among agents, retry budgets."""
--- /dev/null
+++ b/src/balsamtide/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Routing: consistent choice of targets and tables for lookups."""
--- /dev/null
+++ b/src/balsamtide/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of the daemons, read from INI files and validated."""
--- /dev/null
+++ b/src/balsamtide/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Telemetry: events, audit trail, metrics, stages of requests."""
--- /dev/null
+++ b/src/balsamtide/telemetry/sink.py
@@ -0,0 +1,98 @@
+"""Where decision classes and tasks report what happened."""
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass, field
+from typing import Any
+
+from balsamtide.protocol.verdict import Verdict
+from balsamtide.telemetry.stages import Stage
+
+__all__ = ["AuditRecord", "RequestRecord", "Sink"]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AuditRecord:
+    """One change, for the audit trail.
+
+    Parameters
+    ----------
+    kind : str
+        Such as ``"entry"``, ``"mark"``, ``"drain"``, ``"ejection"``, ``"limit"``,
+        ``"key"``, ``"reader"`` or ``"role"``.
+    subject : str
+        The object that changed.
+    change : str
+        What became of it.
+    version : int
+        Configuration version in force here.
+    cause : str
+        Why.
+    actor : str
+        Who or what made the change.
+    """
+
+    kind: str
+    subject: str
+    change: str
+    version: int
+    cause: str = ""
+    actor: str = ""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RequestRecord:
+    """One finished request.
+
+    Parameters
+    ----------
+    request_id, service, route : str
+        Which request.
+    target : str
+        Name of the target that ran it, empty if none did.
+    zone : str
+        Availability zone of that target.
+    version : int
+        Configuration version in force at the agent.
+    verdict : Verdict
+        Whether it ran.
+    status : int
+        HTTP status.
+    reason : str
+        Reason of a refusal or failure.
+    stages : mapping of Stage to float
+        Seconds by stage.
+    attempts : tuple of str
+        One line an attempt: ``"target verdict reason"``.
+    """
+
+    request_id: str
+    service: str
+    route: str
+    target: str
+    zone: str
+    version: int
+    verdict: Verdict
+    status: int
+    reason: str = ""
+    stages: dict[Stage, float] = field(default_factory=dict)
+    attempts: tuple[str, ...] = ()
+
+
+class Sink(ABC):
+    """Receives events, audit records, requests and counts."""
+
+    @abstractmethod
+    def event(self, number: int, **fields: Any) -> None:
+        """Log the event ``number`` of the catalogue with its fields."""
+
+    @abstractmethod
+    def audit(self, record: AuditRecord) -> None:
+        """Add a change to the audit trail."""
+
+    @abstractmethod
+    def request(self, record: RequestRecord) -> None:
+        """Account for a finished request."""
+
+    @abstractmethod
+    def count(self, name: str, amount: float = 1, **labels: str) -> None:
+        """Increase a counter; labels come from bounded sets."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of balsamtide."""
