--- /dev/null
+++ b/bench/measures/__init__.py
@@ -0,0 +1,1 @@
+"""Measures, one module a subject; each has a function ``figures``."""
--- /dev/null
+++ b/bench/slope_groups/__init__.py
@@ -0,0 +1,1 @@
+"""Slopes, one module a subject; each has a function ``figures``."""
--- a/src/balsamtide/requests/model.py
+++ b/src/balsamtide/requests/model.py
@@ -81,8 +81,14 @@
         HTTP status of the answer or refusal.
     service_time_s : float or None
         Time on the target, seconds.
+    is_complete : bool
+        Whether the whole answer was delivered to the writer.
+    reason : str
+        Short identifier of a refusal or failure, empty on success.
     """
 
     verdict: Verdict
     status: int
     service_time_s: float | None = None
+    is_complete: bool = True
+    reason: str = ""
--- a/src/balsamtide/telemetry/memory_sink.py
+++ b/src/balsamtide/telemetry/memory_sink.py
@@ -3,23 +3,27 @@
 from collections import Counter
 from typing import Any
 
+from balsamtide.telemetry.event import Event, Metric
 from balsamtide.telemetry.sink import AuditRecord, RequestRecord, Sink
 
 __all__ = ["MemorySink"]
 
+Labels = tuple[tuple[str, str], ...]
+
 
 class MemorySink(Sink):
     """Keeps all that it is told."""
 
     def __init__(self) -> None:
-        self.events: list[tuple[int, dict[str, Any]]] = []
+        self.events: list[tuple[Event, dict[str, Any]]] = []
         self.audits: list[AuditRecord] = []
         self.requests: list[RequestRecord] = []
-        self.counts: Counter[tuple[str, tuple[tuple[str, str], ...]]] = Counter()
+        self.counts: Counter[tuple[str, Labels]] = Counter()
+        self.gauges: dict[tuple[str, Labels], float] = {}
 
-    def event(self, number: int, **fields: Any) -> None:
+    def event(self, event: Event, **fields: Any) -> None:
         """Keep an event."""
-        self.events.append((number, fields))
+        self.events.append((event, fields))
 
     def audit(self, record: AuditRecord) -> None:
         """Keep an audit record."""
@@ -29,10 +33,15 @@
         """Keep a finished request."""
         self.requests.append(record)
 
-    def count(self, name: str, amount: float = 1, **labels: str) -> None:
+    def count(self, metric: Metric, amount: float = 1, **labels: str) -> None:
         """Add to a counter."""
-        self.counts[name, tuple(sorted(labels.items()))] += amount  # type: ignore[assignment]
+        key = metric.name, tuple(sorted(labels.items()))
+        self.counts[key] += amount  # type: ignore[assignment]
+
+    def gauge(self, metric: Metric, value: float, **labels: str) -> None:
+        """Keep the value of a gauge."""
+        self.gauges[metric.name, tuple(sorted(labels.items()))] = value
 
-    def total(self, name: str) -> float:
+    def total(self, metric: Metric) -> float:
         """Return the sum of a counter over all its labels."""
-        return sum(value for (key, _), value in self.counts.items() if key == name)
+        return sum(n for (name, _), n in self.counts.items() if name == metric.name)
--- a/src/balsamtide/telemetry/sink.py
+++ b/src/balsamtide/telemetry/sink.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from balsamtide.protocol.verdict import Verdict
+from balsamtide.telemetry.event import Event, Metric
 from balsamtide.telemetry.stages import Stage
 
 __all__ = ["AuditRecord", "RequestRecord", "Sink"]
@@ -82,8 +83,8 @@
     """Receives events, audit records, requests and counts."""
 
     @abstractmethod
-    def event(self, number: int, **fields: Any) -> None:
-        """Log the event ``number`` of the catalogue with its fields."""
+    def event(self, event: Event, **fields: Any) -> None:
+        """Log an event with its fields."""
 
     @abstractmethod
     def audit(self, record: AuditRecord) -> None:
@@ -94,5 +95,9 @@
         """Account for a finished request."""
 
     @abstractmethod
-    def count(self, name: str, amount: float = 1, **labels: str) -> None:
+    def count(self, metric: Metric, amount: float = 1, **labels: str) -> None:
         """Increase a counter; labels come from bounded sets."""
+
+    @abstractmethod
+    def gauge(self, metric: Metric, value: float, **labels: str) -> None:
+        """Set a gauge."""
