Add ledger, stamps, home and admission by deadline

The agent needs decisions on what starts, waits, moves and is refused, and on where a keyed request may run.

--- a/src/balsamtide/admission/__init__.py
+++ b/src/balsamtide/admission/__init__.py
@@ -1,1 +1,27 @@
 """Admission: what starts on a target, what waits and what is refused."""
+
+from balsamtide.admission.deadline_admission import (
+    AdmissionIdentity,
+    DeadlineAdmission,
+)
+from balsamtide.admission.fifo_admission import FifoAdmission
+from balsamtide.admission.peer_loads import PeerLoads
+from balsamtide.admission.policy import (
+    AdmissionPolicy,
+    Decision,
+    Refused,
+    Start,
+    Transfer,
+)
+
+__all__ = [
+    "AdmissionIdentity",
+    "AdmissionPolicy",
+    "DeadlineAdmission",
+    "Decision",
+    "FifoAdmission",
+    "PeerLoads",
+    "Refused",
+    "Start",
+    "Transfer",
+]
--- /dev/null
+++ b/src/balsamtide/admission/deadline_queue.py
@@ -0,0 +1,136 @@
+"""A bounded queue in order of deadline, fair between callers."""
+
+from bisect import bisect_left, insort
+from dataclasses import dataclass, field
+
+from balsamtide.requests.model import RequestFacts
+
+__all__ = ["DeadlineQueue", "Waiting"]
+
+
+@dataclass(order=True, slots=True)
+class Waiting:
+    """A queued request; the order of the fields is the order of service.
+
+    Parameters
+    ----------
+    rank : int
+        0 for requests already begun by an earlier try, 1 for others.
+    round : int
+        Start tag of start-time fair queueing over callers.
+    deadline : float
+        When its answer is worthless, seconds on the local clock.
+    number : int
+        Order of arrival.
+    request : RequestFacts
+        The request.
+    service_time_s : float
+        Expected time on the target.
+    cause : str
+        What it waits for, see ``Start.queued_behind``.
+    """
+
+    rank: int
+    round: int
+    deadline: float
+    number: int
+    request: RequestFacts = field(compare=False)
+    service_time_s: float = field(compare=False)
+    cause: str = field(compare=False, default="")
+
+
+class DeadlineQueue:
+    """Requests of one size class that wait for a slot.
+
+    A caller without queued requests competes by deadline in the current round; each
+    further request of the same caller stands one round later.
+
+    Parameters
+    ----------
+    capacity : int
+        Most requests held.
+    """
+
+    def __init__(self, capacity: int) -> None:
+        self.capacity = capacity
+        self.entries: list[Waiting] = []
+        self.by_id: dict[str, Waiting] = {}
+        self.next_round: dict[str, int] = {}
+        self.round = 0
+        self.arrivals = 0
+        self.work_s = 0.0
+
+    def __len__(self) -> int:
+        return len(self.entries)
+
+    def __contains__(self, request_id: str) -> bool:
+        return request_id in self.by_id
+
+    @property
+    def is_full(self) -> bool:
+        """Whether no further request is taken."""
+        return len(self.entries) >= self.capacity
+
+    def place(self, request: RequestFacts, service_time_s: float) -> Waiting:
+        """Return the entry that ``request`` would get, without adding it."""
+        rank = 0 if request.attempt > 1 else 1
+        start = max(self.round, self.next_round.get(request.caller, 0))
+        return Waiting(
+            rank, start, request.deadline, self.arrivals, request, service_time_s
+        )
+
+    def work_before(self, entry: Waiting) -> float:
+        """Return the expected work served before ``entry``, seconds."""
+        position = bisect_left(self.entries, entry)
+        if position == len(self.entries):
+            return self.work_s
+        return sum(waiting.service_time_s for waiting in self.entries[:position])
+
+    def add(self, entry: Waiting) -> None:
+        """Add an entry made by ``place`` just before."""
+        insort(self.entries, entry)
+        self.by_id[entry.request.request_id] = entry
+        self.next_round[entry.request.caller] = entry.round + 1
+        self.arrivals += 1
+        self.work_s += entry.service_time_s
+
+    def head(self) -> Waiting | None:
+        """Return the next request, or None."""
+        return self.entries[0] if self.entries else None
+
+    def take(self) -> Waiting:
+        """Remove and return the next request."""
+        entry = self.entries[0]
+        self.round = max(self.round, entry.round)
+        self.remove(entry.request.request_id)
+        return entry
+
+    def remove(self, request_id: str) -> Waiting | None:
+        """Remove a request wherever it stands."""
+        entry = self.by_id.pop(request_id, None)
+        if entry is None:
+            return None
+        del self.entries[bisect_left(self.entries, entry)]
+        self.work_s = max(0.0, self.work_s - entry.service_time_s)
+        if not self.entries:
+            self._restart()
+        return entry
+
+    def _restart(self) -> None:
+        self.next_round.clear()
+        self.round = 0
+        self.work_s = 0.0
+
+    def hopeless(self, now: float) -> list[Waiting]:
+        """Remove and return the requests that can't finish by their deadline."""
+        late = [e for e in self.entries if now + e.service_time_s > e.deadline]
+        for entry in late:
+            self.remove(entry.request.request_id)
+        return late
+
+    @property
+    def latest_start(self) -> float:
+        """Earliest of the times by which a waiting request has to start."""
+        return min(
+            (e.deadline - e.service_time_s for e in self.entries), default=float("inf")
+        )
--- /dev/null
+++ b/src/balsamtide/admission/long_quotas.py
@@ -0,0 +1,56 @@
+"""How many slots of each target long work may hold.
+
+A pure function of the configuration, so all agents of a service agree without
+talking.  Half of the service's slots at most are open to long work.  They are spread
+in rendezvous order, one a target and round, alternating over availability zones, and
+never take the last slot of a target that has several.
+"""
+
+from collections import defaultdict
+from collections.abc import Iterable
+
+from xxhash import xxh3_64_intdigest
+
+from balsamtide.config.model import Service, Target, TargetState
+
+__all__ = ["long_quotas"]
+
+LONG_SHARE = 0.5
+
+
+def long_quotas(service: Service) -> dict[int, int]:
+    """Return the slots open to long work, by target number."""
+    targets = [t for t in service.targets.values() if t.state is TargetState.ACTIVE]
+    quotas = {target.number: 0 for target in targets}
+    left = max(1, int(LONG_SHARE * sum(target.slots for target in targets)))
+    ordered = _alternate_zones(targets, service.number)
+    while left:
+        open_targets = [t for t in ordered if quotas[t.number] < _most(t)]
+        if not open_targets:
+            break
+        for target in open_targets[:left]:
+            quotas[target.number] += 1
+        left -= min(left, len(open_targets))
+    return quotas
+
+
+def _most(target: Target) -> int:
+    return max(1, target.slots - 1)
+
+
+def _alternate_zones(targets: Iterable[Target], service: int) -> list[Target]:
+    zones: dict[str, list[Target]] = defaultdict(list)
+    for target in sorted(targets, key=lambda t: _weight(service, str(t.number))):
+        zones[target.zone].append(target)
+    ordered = sorted(zones, key=lambda zone: _weight(service, zone))
+    ranked = [
+        (rank, position, target)
+        for position, zone in enumerate(ordered)
+        for rank, target in enumerate(zones[zone])
+    ]
+    ranked.sort(key=lambda item: item[:2])
+    return [target for _, _, target in ranked]
+
+
+def _weight(service: int, name: str) -> int:
+    return xxh3_64_intdigest(f"{service}:{name}".encode())
--- /dev/null
+++ b/src/balsamtide/admission/report_schedule.py
@@ -0,0 +1,57 @@
+"""When a load report is sent: on change and by period, within a byte budget."""
+
+from balsamtide.protocol.messages import LoadReport
+
+__all__ = ["REPORT_BYTES", "REPORT_BYTES_PER_S", "ReportSchedule"]
+
+REPORT_BYTES = 110
+REPORT_BYTES_PER_S = 4000.0
+BURST_BYTES = 4000.0
+PERIOD_S = 1.0
+WAIT_STEP_US = 10_000
+
+
+class ReportSchedule:
+    """Decides whether a report is due; a token bucket bounds the bytes.
+
+    Parameters
+    ----------
+    now : float
+        Local time, seconds.
+    """
+
+    def __init__(self, now: float) -> None:
+        self.tokens = BURST_BYTES
+        self.filled_at = now
+        self.due_at = now
+        self.sent: tuple[int, int, int, str] | None = None
+
+    def is_due(self, report: LoadReport, peers: int, now: float) -> bool:
+        """Tell whether ``report`` goes to ``peers`` peers now, and account for it."""
+        if not peers:
+            return False
+        self._fill(now)
+        content = self._content(report)
+        if content == self.sent and now < self.due_at:
+            return False
+        cost = REPORT_BYTES * peers
+        if self.tokens < cost:
+            return False
+        self.tokens -= cost
+        self.sent = content
+        self.due_at = now + PERIOD_S
+        return True
+
+    def _fill(self, now: float) -> None:
+        gained = (now - self.filled_at) * REPORT_BYTES_PER_S
+        self.tokens = min(BURST_BYTES, self.tokens + gained)
+        self.filled_at = now
+
+    @staticmethod
+    def _content(report: LoadReport) -> tuple[int, int, int, str]:
+        return (
+            report.free_slots,
+            report.short_wait_us // WAIT_STEP_US,
+            report.long_wait_us // WAIT_STEP_US,
+            report.state,
+        )
--- /dev/null
+++ b/src/balsamtide/requests/exits.py
@@ -0,0 +1,309 @@
+"""Every way in which a request can end, with its verdict.
+
+One table for the agent, the hand-off, the target client and the caller library; the
+page ``docs/verdicts.md`` shows it.
+"""
+
+from enum import Enum
+
+from balsamtide.protocol.verdict import Verdict
+from balsamtide.requests.model import Outcome, Refusal
+
+__all__ = ["Exit", "Party"]
+
+NOT_RUN = Verdict.NOT_RUN
+RAN = Verdict.RAN
+MAY_HAVE_RUN = Verdict.MAY_HAVE_RUN
+
+
+class Party(Enum):
+    """Who ends the request."""
+
+    HOME = "home"
+    ADMISSION = "admission"
+    HAND_OFF = "hand-off"
+    TARGET = "target client"
+
+
+class Exit(Enum):
+    """A way in which a request ends.
+
+    Each member has the party, the reason identifier, the verdict, the HTTP status
+    shown to the caller (0: the status of the answer) and why the verdict is true.
+    """
+
+    STAMP_REQUIRED = (
+        Party.HOME,
+        "stamp-required",
+        NOT_RUN,
+        428,
+        "A key without a stamp is refused before admission, on every try.",
+    )
+    STAMP_FOREIGN = (
+        Party.HOME,
+        "stamp-foreign",
+        NOT_RUN,
+        428,
+        "A first try runs only under a stamp of the very agent and tenure.",
+    )
+    STAMP_OTHER_SERVICE = (
+        Party.HOME,
+        "stamp-other-service",
+        MAY_HAVE_RUN,
+        409,
+        "A repeat names a home in another service, whose ledger isn't known here.",
+    )
+    STAMP_OLD = (
+        Party.HOME,
+        "stamp-old",
+        NOT_RUN,
+        428,
+        "A first try with a stamp below the watermark is refused before admission.",
+    )
+    OUTCOME_FORGOTTEN = (
+        Party.HOME,
+        "outcome-forgotten",
+        MAY_HAVE_RUN,
+        409,
+        "The earlier try may be among the entries that were dropped.",
+    )
+    OUTCOME_UNKNOWN = (
+        Party.HOME,
+        "outcome-unknown",
+        MAY_HAVE_RUN,
+        409,
+        "The earlier try was started and its end is not known.",
+    )
+    IN_PROGRESS = (
+        Party.HOME,
+        "in-progress",
+        MAY_HAVE_RUN,
+        409,
+        "The earlier try waits or runs.",
+    )
+    ANSWER_NOT_KEPT = (
+        Party.HOME,
+        "answer-not-kept",
+        RAN,
+        409,
+        "The earlier try ran; its answer was too large to keep.",
+    )
+    REPLAYED = (
+        Party.HOME,
+        "replayed",
+        RAN,
+        0,
+        "The recorded answer of the earlier try is sent again.",
+    )
+    TENURE_GONE = (
+        Party.HOME,
+        "tenure-gone",
+        MAY_HAVE_RUN,
+        409,
+        "The ledger that would know is lost.",
+    )
+    TENURE_CLOSED = (
+        Party.HOME,
+        "tenure-closed",
+        NOT_RUN,
+        503,
+        "The closed ledger is complete and doesn't hold the request.",
+    )
+    LEDGER_FULL = (
+        Party.HOME,
+        "ledger-full",
+        NOT_RUN,
+        503,
+        "The request got no claim, so nothing may start it.",
+    )
+    HOME_UNREACHABLE = (
+        Party.HOME,
+        "home-unreachable",
+        MAY_HAVE_RUN,
+        409,
+        "The home may have started an earlier try, or this one.",
+    )
+    DEADLINE = (
+        Party.ADMISSION,
+        "deadline",
+        NOT_RUN,
+        503,
+        "The request never left the queue.",
+    )
+    QUEUE_FULL = (
+        Party.ADMISSION,
+        "queue-full",
+        NOT_RUN,
+        503,
+        "The request never entered the queue.",
+    )
+    OVERLOAD = (
+        Party.ADMISSION,
+        "overload",
+        NOT_RUN,
+        503,
+        "The request never entered the queue.",
+    )
+    TARGET_EJECTED = (
+        Party.ADMISSION,
+        "target-ejected",
+        NOT_RUN,
+        503,
+        "The request never entered the queue.",
+    )
+    CANCELLED_WAITING = (
+        Party.ADMISSION,
+        "cancelled-waiting",
+        NOT_RUN,
+        499,
+        "The request had not been started when its caller gave it up.",
+    )
+    NO_GRANT = (
+        Party.HAND_OFF,
+        "no-grant",
+        NOT_RUN,
+        503,
+        "A peer starts nothing without a grant; the request stays here.",
+    )
+    GRANT_EXPIRED = (
+        Party.HAND_OFF,
+        "grant-expired",
+        NOT_RUN,
+        503,
+        "The run message was not sent, or the peer saw it after the deadline.",
+    )
+    PEER_LOST_BEFORE_RUN = (
+        Party.HAND_OFF,
+        "peer-lost-before-run",
+        NOT_RUN,
+        503,
+        "The run message was never handed to the connection.",
+    )
+    PEER_LOST_AFTER_RUN = (
+        Party.HAND_OFF,
+        "peer-lost",
+        MAY_HAVE_RUN,
+        502,
+        "The run message may have arrived; the peer's verdict did not.",
+    )
+    PEER_SILENT = (
+        Party.HAND_OFF,
+        "peer-silent",
+        MAY_HAVE_RUN,
+        502,
+        "After the run message nothing came for the silence limit.",
+    )
+    PEER_LOST_IN_ANSWER = (
+        Party.HAND_OFF,
+        "answer-cut",
+        RAN,
+        502,
+        "The head of the answer was seen, its end was not.",
+    )
+    CONNECT_REFUSED = (
+        Party.TARGET,
+        "connect-refused",
+        NOT_RUN,
+        502,
+        "No connection was made, so no octet was sent.",
+    )
+    CONNECT_TIMEOUT = (
+        Party.TARGET,
+        "connect-timeout",
+        NOT_RUN,
+        504,
+        "No connection was made, so no octet was sent.",
+    )
+    REQUEST_NOT_SENT = (
+        Party.TARGET,
+        "request-not-sent",
+        NOT_RUN,
+        502,
+        "The connection failed before the first octet of the request was written.",
+    )
+    REQUEST_CUT = (
+        Party.TARGET,
+        "request-cut",
+        MAY_HAVE_RUN,
+        502,
+        "Octets of the request were written and no answer came.",
+    )
+    TARGET_TIMEOUT = (
+        Party.TARGET,
+        "target-timeout",
+        MAY_HAVE_RUN,
+        504,
+        "The target took the request and did not answer by the deadline.",
+    )
+    CANCELLED_RUNNING = (
+        Party.TARGET,
+        "cancelled",
+        MAY_HAVE_RUN,
+        499,
+        "The target may have finished before the cancellation reached it.",
+    )
+    TARGET_SHED = (
+        Party.TARGET,
+        "target-shed",
+        NOT_RUN,
+        503,
+        "The target answered 503 or 429 with the header balsamtide-verdict: not-run.",
+    )
+    TARGET_SHED_UNPROMISED = (
+        Party.TARGET,
+        "target-shed",
+        RAN,
+        0,
+        "503 or 429 without that header is an answer, as nothing promises more.",
+    )
+    ANSWER_CUT = (
+        Party.TARGET,
+        "answer-cut",
+        RAN,
+        502,
+        "The head of the answer was seen, its end was not.",
+    )
+    ANSWERED = (Party.TARGET, "", RAN, 0, "The target answered.")
+
+    def __init__(
+        self, party: Party, reason: str, verdict: Verdict, status: int, why: str
+    ) -> None:
+        self.party = party
+        self.reason = reason
+        self.verdict = verdict
+        self.status = status
+        self.why = why
+
+    def refusal(self, retry_after_s: float | None = None) -> Refusal:
+        """Return the refusal of a request that ends this way."""
+        return Refusal(
+            verdict=self.verdict,
+            reason=self.reason,
+            status=self.status,
+            retry_after_s=retry_after_s,
+        )
+
+    def outcome(
+        self, *, status: int | None = None, service_time_s: float | None = None
+    ) -> Outcome:
+        """Return the outcome of a request that ends this way.
+
+        Parameters
+        ----------
+        status : int or None
+            Status of the answer, where there was one.
+        service_time_s : float or None
+            Time on the target, seconds.
+        """
+        return Outcome(
+            verdict=self.verdict,
+            status=self.status if status is None else status,
+            service_time_s=service_time_s,
+            is_complete=self in COMPLETE,
+            reason=self.reason,
+        )
+
+
+COMPLETE = frozenset(
+    (Exit.REPLAYED, Exit.TARGET_SHED, Exit.TARGET_SHED_UNPROMISED, Exit.ANSWERED)
+)
--- /dev/null
+++ b/src/balsamtide/requests/home.py
@@ -0,0 +1,231 @@
+"""Where a keyed request may run, and what is known of its earlier tries.
+
+The home of a key is the agent that issued the stamp the key came with, in that
+tenure, or the one successor that took over its closed ledger.  Nobody else runs it.
+"""
+
+from dataclasses import dataclass
+
+from balsamtide.protocol.messages import TenureClosed
+from balsamtide.protocol.verdict import Verdict
+from balsamtide.requests.exits import Exit
+from balsamtide.requests.ledger import (
+    Claim,
+    Entry,
+    Identity,
+    Ledger,
+    LedgerImage,
+    RecordedAnswer,
+)
+from balsamtide.requests.model import Refusal, RequestFacts
+from balsamtide.requests.stamp import Stamp
+
+__all__ = [
+    "AskHome",
+    "Home",
+    "HomeDecision",
+    "KeyedRun",
+    "Refuse",
+    "Replay",
+    "RunHere",
+]
+
+MOST_ADOPTED = 16
+MOST_CLOSURES = 256
+
+
+@dataclass(frozen=True, slots=True)
+class KeyedRun:
+    """A claim in a ledger; the runner reports to it.
+
+    Parameters
+    ----------
+    ledger : Ledger
+        The ledger that holds the claim.
+    identity : Identity
+        The request.
+    claim : int
+        Number of the claim.
+    """
+
+    ledger: Ledger
+    identity: Identity
+    claim: int
+
+    def start(self) -> bool:
+        """Record the start; False means that the request must not run."""
+        return self.ledger.start(self.identity, self.claim)
+
+    def unstart(self) -> bool:
+        """Take the start back after ``NOT_RUN``, to try another target."""
+        return self.ledger.unstart(self.identity, self.claim)
+
+    def release(self) -> None:
+        """Give up the claim of a request that did not run."""
+        self.ledger.release(self.identity, self.claim)
+
+    def finish(
+        self, verdict: Verdict, answer: RecordedAnswer | None, now: float
+    ) -> None:
+        """Record the end."""
+        self.ledger.finish(self.identity, self.claim, verdict, answer, now)
+
+
+@dataclass(frozen=True, slots=True)
+class RunHere:
+    """Admit the request here; ``keyed`` is None if it needs no ledger."""
+
+    keyed: KeyedRun | None
+
+
+@dataclass(frozen=True, slots=True)
+class Replay:
+    """Answer with the recorded answer; the verdict is ``RAN``."""
+
+    answer: RecordedAnswer
+
+
+@dataclass(frozen=True, slots=True)
+class AskHome:
+    """Pass the repeat to the agent of this target, which is or knows the home."""
+
+    target: int
+    stamp: Stamp
+
+
+@dataclass(frozen=True, slots=True)
+class Refuse:
+    """Refuse the request."""
+
+    refusal: Refusal
+
+
+HomeDecision = RunHere | Replay | AskHome | Refuse
+
+
+class Home:
+    """Decides what becomes of keyed requests at one agent.
+
+    Parameters
+    ----------
+    service : int
+        Service number.
+    ledger : Ledger
+        The ledger of the agent's own tenure.
+    """
+
+    def __init__(self, service: int, ledger: Ledger) -> None:
+        self.service = service
+        self.ledger = ledger
+        self.adopted: dict[int, Ledger] = {}
+        self.closures: dict[int, int] = {}
+
+    def decide(
+        self, request: RequestFacts, stamp: Stamp | None, now: float
+    ) -> HomeDecision:
+        """Decide about a request from a caller's flow."""
+        if request.key is None or request.is_idempotent:
+            return RunHere(None)
+        if stamp is None:
+            return Refuse(Exit.STAMP_REQUIRED.refusal())
+        is_first = request.attempt == 1
+        is_ours = stamp.service == self.service
+        if is_first and not (is_ours and stamp.tenure == self.ledger.tenure):
+            return Refuse(Exit.STAMP_FOREIGN.refusal())
+        if not is_ours:
+            return Refuse(Exit.STAMP_OTHER_SERVICE.refusal())
+        ledger = self._ledger(stamp.tenure)
+        if ledger is None:
+            target = self.closures.get(stamp.tenure, stamp.target)
+            if target == self.ledger.target:
+                return Refuse(Exit.TENURE_GONE.refusal())
+            return AskHome(target, stamp)
+        return self._decide_by(ledger, request, request.key, stamp, now)
+
+    def decide_asked(
+        self, request: RequestFacts, stamp: Stamp, now: float
+    ) -> HomeDecision:
+        """Decide about a repeat that a peer passed on; never ``AskHome`` again."""
+        if stamp.service != self.service or request.key is None:
+            return Refuse(Exit.STAMP_OTHER_SERVICE.refusal())
+        ledger = self._ledger(stamp.tenure)
+        if ledger is not None:
+            return self._decide_by(ledger, request, request.key, stamp, now)
+        return Refuse(Exit.TENURE_GONE.refusal())
+
+    def unreachable(self) -> Refuse:
+        """Return the refusal of a repeat whose home doesn't answer."""
+        return Refuse(Exit.HOME_UNREACHABLE.refusal())
+
+    def closed(self, message: TenureClosed) -> None:
+        """Remember who answers for a closed tenure."""
+        if message.service != self.service:
+            return
+        self.closures.pop(message.tenure, None)
+        self.closures[message.tenure] = message.successor
+        while len(self.closures) > MOST_CLOSURES:
+            del self.closures[next(iter(self.closures))]
+
+    def adopt(self, image: LedgerImage, now: float) -> bool:
+        """Take over a closed ledger; False if it is refused.
+
+        A tenure is adopted once; an agent that is closing adopts nothing.
+        """
+        if self.ledger.is_closed or image.tenure in self.adopted:
+            return False
+        if len(self.adopted) >= MOST_ADOPTED:
+            return False
+        self.adopted[image.tenure] = Ledger.from_image(image, now)
+        return True
+
+    def close(self) -> None:
+        """Close the own ledger and the adopted ones for good."""
+        self.ledger.close()
+        for ledger in self.adopted.values():
+            ledger.close()
+
+    def expire(self, now: float) -> None:
+        """Drop old entries of all ledgers."""
+        for ledger in (self.ledger, *self.adopted.values()):
+            ledger.expire(now)
+
+    def _ledger(self, tenure: int) -> Ledger | None:
+        if tenure == self.ledger.tenure:
+            return self.ledger
+        return self.adopted.get(tenure)
+
+    def _decide_by(
+        self,
+        ledger: Ledger,
+        request: RequestFacts,
+        key: str,
+        stamp: Stamp,
+        now: float,
+    ) -> HomeDecision:
+        identity = Identity(stamp.sequence, key)
+        claim = ledger.claim(identity, now)
+        match claim:
+            case Claim.GRANTED:
+                return RunHere(KeyedRun(ledger, identity, ledger.claims))
+            case Claim.DONE:
+                return self._replay(ledger.get(identity))
+            case Claim.IN_PROGRESS:
+                return Refuse(Exit.IN_PROGRESS.refusal())
+            case Claim.FORGOTTEN:
+                return self._forgotten(request)
+            case Claim.CLOSED:
+                return Refuse(Exit.TENURE_CLOSED.refusal())
+            case Claim.FULL:
+                return Refuse(Exit.LEDGER_FULL.refusal())
+
+    def _replay(self, entry: Entry | None) -> HomeDecision:
+        if entry is None or entry.verdict is not Verdict.RAN:
+            return Refuse(Exit.OUTCOME_UNKNOWN.refusal())
+        if entry.answer is None:
+            return Refuse(Exit.ANSWER_NOT_KEPT.refusal())
+        return Replay(entry.answer)
+
+    def _forgotten(self, request: RequestFacts) -> HomeDecision:
+        if request.attempt == 1:
+            return Refuse(Exit.STAMP_OLD.refusal())
+        return Refuse(Exit.OUTCOME_FORGOTTEN.refusal())
--- /dev/null
+++ b/src/balsamtide/requests/ledger.py
@@ -0,0 +1,374 @@
+"""The bounded record of keyed requests that one tenure started.
+
+A request is *claimed* from its arrival, *started* from just before it can reach a
+target, and *done* with its outcome.  Only ``claim`` on an unknown identity allows a
+run, so an identity runs at most once in the life of the ledger and of its image at a
+successor.
+"""
+
+from dataclasses import dataclass, replace
+from enum import Enum
+
+from msgspec import Struct
+
+from balsamtide.protocol.verdict import Verdict
+from balsamtide.requests.runner import Header
+
+__all__ = [
+    "Claim",
+    "Entry",
+    "EntryState",
+    "Identity",
+    "ImageEntry",
+    "Ledger",
+    "LedgerImage",
+    "RecordedAnswer",
+]
+
+MOST_ENTRIES = 10_000
+ENTRY_TTL_S = 600.0
+MOST_ANSWER_BYTES = 16_384
+MOST_RECORDED_BYTES = 32 * 1024 * 1024
+US_PER_S = 1_000_000
+
+
+class Identity(Struct, frozen=True, array_like=True, order=True):
+    """What names a keyed request within one tenure.
+
+    Parameters
+    ----------
+    sequence : int
+        Sequence of the stamp it came with.
+    key : str
+        Idempotency key.
+    """
+
+    sequence: int
+    key: str
+
+
+class RecordedAnswer(Struct, frozen=True, array_like=True):
+    """An answer kept for repeats.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status.
+    headers : tuple of (bytes, bytes)
+        Header fields.
+    body : bytes
+        The whole body.
+    """
+
+    status: int
+    headers: tuple[Header, ...]
+    body: bytes
+
+    @property
+    def size(self) -> int:
+        """Octets that count against the bound."""
+        fields = sum(len(name) + len(value) for name, value in self.headers)
+        return fields + len(self.body)
+
+
+class EntryState(Enum):
+    """How far a keyed request has come."""
+
+    CLAIMED = "claimed"
+    STARTED = "started"
+    DONE = "done"
+
+
+class Claim(Enum):
+    """What the ledger says of an identity that asks to run."""
+
+    GRANTED = "granted"
+    IN_PROGRESS = "in-progress"
+    DONE = "done"
+    FORGOTTEN = "forgotten"
+    CLOSED = "closed"
+    FULL = "full"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Entry:
+    """One keyed request.
+
+    Parameters
+    ----------
+    state : EntryState
+        How far it has come.
+    claim : int
+        Number of the claim; a holder of an earlier claim can change nothing.
+    verdict : Verdict
+        What is known of it; ``MAY_HAVE_RUN`` until its end is known.
+    answer : RecordedAnswer or None
+        The answer, if it was small enough to keep.
+    expires_at : float
+        When a done entry may be dropped, seconds on the local clock.
+    """
+
+    state: EntryState
+    claim: int = 0
+    verdict: Verdict = Verdict.MAY_HAVE_RUN
+    answer: RecordedAnswer | None = None
+    expires_at: float = float("inf")
+
+
+class ImageEntry(Struct, frozen=True, array_like=True):
+    """One entry of a closed ledger on its way to the successor.
+
+    Parameters
+    ----------
+    identity : Identity
+        The request.
+    has_run : bool
+        True for ``RAN``, False for ``MAY_HAVE_RUN``.
+    answer : RecordedAnswer or None
+        The recorded answer.
+    remaining_us : int
+        Time until it may be dropped.
+    """
+
+    identity: Identity
+    has_run: bool
+    answer: RecordedAnswer | None
+    remaining_us: int
+
+
+class LedgerImage(Struct, frozen=True, array_like=True):
+    """A closed ledger, complete.
+
+    Parameters
+    ----------
+    target : int
+        Target number of the agent that closed it.
+    tenure : int
+        The tenure that ended.
+    watermark : int
+        Sequences below it may have been forgotten.
+    entries : tuple of ImageEntry
+        Everything that was started and not dropped.
+    """
+
+    target: int
+    tenure: int
+    watermark: int
+    entries: tuple[ImageEntry, ...]
+
+
+class Ledger:
+    """Keyed requests of one tenure.
+
+    Parameters
+    ----------
+    target : int
+        Target number of the agent whose tenure it is.
+    tenure : int
+        The tenure.
+    capacity : int
+        Most entries held.
+    """
+
+    def __init__(
+        self, *, target: int, tenure: int, capacity: int = MOST_ENTRIES
+    ) -> None:
+        self.target = target
+        self.tenure = tenure
+        self.capacity = capacity
+        self.entries: dict[Identity, Entry] = {}
+        self.watermark = 0
+        self.claims = 0
+        self.recorded: dict[Identity, int] = {}
+        self.recorded_bytes = 0
+        self.is_closed = False
+
+    @classmethod
+    def from_image(
+        cls, image: LedgerImage, now: float, *, capacity: int = MOST_ENTRIES
+    ) -> "Ledger":
+        """Return the successor's open copy of a closed ledger."""
+        ledger = cls(target=image.target, tenure=image.tenure, capacity=capacity)
+        ledger.watermark = image.watermark
+        for item in image.entries:
+            verdict = Verdict.RAN if item.has_run else Verdict.MAY_HAVE_RUN
+            ledger.entries[item.identity] = Entry(
+                state=EntryState.DONE,
+                verdict=verdict,
+                answer=item.answer,
+                expires_at=now + item.remaining_us / US_PER_S,
+            )
+            ledger._account(item.identity, item.answer)
+        return ledger
+
+    def claim(self, identity: Identity, now: float) -> Claim:
+        """Claim an identity for running; only ``GRANTED`` allows it.
+
+        The claim that was granted has the number ``claims``.
+        """
+        entry = self.entries.get(identity)
+        if entry is not None:
+            is_done = entry.state is EntryState.DONE
+            return Claim.DONE if is_done else Claim.IN_PROGRESS
+        if identity.sequence < self.watermark:
+            return Claim.FORGOTTEN
+        if self.is_closed:
+            return Claim.CLOSED
+        if not self._make_room(now):
+            return Claim.FULL
+        # Making room can raise the watermark above this very sequence.
+        if identity.sequence < self.watermark:
+            return Claim.FORGOTTEN
+        self.claims += 1
+        self.entries[identity] = Entry(state=EntryState.CLAIMED, claim=self.claims)
+        return Claim.GRANTED
+
+    def _held(self, identity: Identity, claim: int, state: EntryState) -> Entry | None:
+        entry = self.entries.get(identity)
+        if entry is None or entry.claim != claim or entry.state is not state:
+            return None
+        return entry
+
+    def start(self, identity: Identity, claim: int) -> bool:
+        """Record that the request is about to leave for a target.
+
+        False means that it must not run: the ledger was closed meanwhile, or the
+        claim is gone.
+        """
+        entry = self._held(identity, claim, EntryState.CLAIMED)
+        if self.is_closed or entry is None:
+            return False
+        self.entries[identity] = replace(entry, state=EntryState.STARTED)
+        return True
+
+    def release(self, identity: Identity, claim: int) -> None:
+        """Drop a claim or start that is certain not to have run."""
+        entry = self.entries.get(identity)
+        if entry is None or entry.claim != claim or entry.state is EntryState.DONE:
+            return
+        del self.entries[identity]
+
+    def unstart(self, identity: Identity, claim: int) -> bool:
+        """Take a start back after ``NOT_RUN``; False if the claim is gone too."""
+        entry = self._held(identity, claim, EntryState.STARTED)
+        if entry is None:
+            return False
+        if self.is_closed:
+            del self.entries[identity]
+            return False
+        self.entries[identity] = replace(entry, state=EntryState.CLAIMED)
+        return True
+
+    def finish(
+        self,
+        identity: Identity,
+        claim: int,
+        verdict: Verdict,
+        answer: RecordedAnswer | None,
+        now: float,
+    ) -> None:
+        """Record the end of a started request; ``NOT_RUN`` forgets it."""
+        if verdict is Verdict.NOT_RUN:
+            self.release(identity, claim)
+            return
+        entry = self._held(identity, claim, EntryState.STARTED)
+        if entry is None:
+            return
+        if answer is not None and answer.size > MOST_ANSWER_BYTES:
+            answer = None
+        self.entries[identity] = replace(
+            entry,
+            state=EntryState.DONE,
+            verdict=verdict,
+            answer=answer,
+            expires_at=now + ENTRY_TTL_S,
+        )
+        self._account(identity, answer)
+
+    def _account(self, identity: Identity, answer: RecordedAnswer | None) -> None:
+        if answer is None:
+            return
+        self.recorded[identity] = answer.size
+        self.recorded_bytes += answer.size
+        while self.recorded_bytes > MOST_RECORDED_BYTES:
+            oldest = next(iter(self.recorded))
+            self._drop_answer(oldest)
+            self.entries[oldest] = replace(self.entries[oldest], answer=None)
+
+    def _drop_answer(self, identity: Identity) -> None:
+        self.recorded_bytes -= self.recorded.pop(identity, 0)
+
+    def get(self, identity: Identity) -> Entry | None:
+        """Return what is recorded of a request."""
+        return self.entries.get(identity)
+
+    @property
+    def in_progress(self) -> int:
+        """Requests that were started and have not ended."""
+        return sum(e.state is EntryState.STARTED for e in self.entries.values())
+
+    def expire(self, now: float) -> None:
+        """Drop the done entries whose time is over, and remember that."""
+        old = [i for i, entry in self.entries.items() if now >= entry.expires_at]
+        for identity in old:
+            self._forget(identity)
+
+    def _forget(self, identity: Identity) -> None:
+        del self.entries[identity]
+        self._drop_answer(identity)
+        self.watermark = max(self.watermark, identity.sequence + 1)
+
+    def _make_room(self, now: float) -> bool:
+        if len(self.entries) < self.capacity:
+            return True
+        self.expire(now)
+        if len(self.entries) < self.capacity:
+            return True
+        done = [i for i, e in self.entries.items() if e.state is EntryState.DONE]
+        if not done:
+            return False
+        done.sort()
+        for identity in done[: max(1, self.capacity // 16)]:
+            self._forget(identity)
+        return True
+
+    def close(self) -> None:
+        """Start no keyed request any more; this can't be undone.
+
+        Claims that were not started are dropped: they never ran here.
+        """
+        self.is_closed = True
+        self.entries = {
+            identity: entry
+            for identity, entry in self.entries.items()
+            if entry.state is not EntryState.CLAIMED
+        }
+
+    def image(self, now: float) -> LedgerImage:
+        """Return the complete image of a closed ledger.
+
+        Requests still in progress are exported as ``MAY_HAVE_RUN``.
+
+        Raises
+        ------
+        ValueError
+            If the ledger is not closed.
+        """
+        if not self.is_closed:
+            raise ValueError("an open ledger has no image")
+        return LedgerImage(
+            self.target,
+            self.tenure,
+            self.watermark,
+            tuple(self._image_entry(i, e, now) for i, e in self.entries.items()),
+        )
+
+    @staticmethod
+    def _image_entry(identity: Identity, entry: Entry, now: float) -> ImageEntry:
+        remaining = min(ENTRY_TTL_S, max(0.0, entry.expires_at - now))
+        return ImageEntry(
+            identity,
+            entry.verdict is Verdict.RAN,
+            entry.answer,
+            round(remaining * US_PER_S),
+        )
--- /dev/null
+++ b/src/balsamtide/requests/stamp.py
@@ -0,0 +1,112 @@
+"""Stamps: tokens that bind an idempotency key to the tenure that may run it.
+
+A token is base64url of a MessagePack array followed by a truncated keyed BLAKE2 MAC.
+"""
+
+from base64 import urlsafe_b64decode, urlsafe_b64encode
+from binascii import Error as Base64Error
+from hashlib import blake2b
+from hmac import compare_digest
+
+from msgspec import DecodeError as MsgspecDecodeError
+from msgspec import Struct, ValidationError
+from msgspec.msgpack import Decoder, Encoder
+
+from balsamtide.protocol.datagram import MacKeys
+
+__all__ = ["Stamp", "StampCodec", "StampIssuer"]
+
+MAC_BYTES = 12
+PERSON = b"balsam-stamp"
+LONGEST_TOKEN = 128
+
+
+class Stamp(Struct, frozen=True, array_like=True):
+    """The agent and tenure that issued a token, and its place in that tenure.
+
+    Parameters
+    ----------
+    service : int
+        Service number.
+    target : int
+        Target number of the agent.
+    tenure : int
+        Random number of the uninterrupted life of the agent's ledger.
+    sequence : int
+        Position among the stamps of that tenure, from 1.
+    """
+
+    service: int
+    target: int
+    tenure: int
+    sequence: int
+
+
+class StampCodec:
+    """Makes tokens of stamps and verifies them.
+
+    Parameters
+    ----------
+    keys : MacKeys
+        Keys shared by all agents of one installation.
+    """
+
+    def __init__(self, keys: MacKeys) -> None:
+        self.keys = keys
+        self.encoder = Encoder()
+        self.decoder = Decoder(Stamp)
+
+    def _mac(self, key: bytes, body: bytes) -> bytes:
+        return blake2b(body, key=key, digest_size=MAC_BYTES, person=PERSON).digest()
+
+    def encode(self, stamp: Stamp) -> bytes:
+        """Return the token of ``stamp``, ASCII."""
+        body = bytes((self.keys.current,)) + self.encoder.encode(stamp)
+        mac = self._mac(self.keys.keys[self.keys.current], body)
+        return urlsafe_b64encode(mac + body).rstrip(b"=")
+
+    def decode(self, token: bytes) -> Stamp | None:
+        """Return the stamp of an authentic token, or None."""
+        if len(token) > LONGEST_TOKEN:
+            return None
+        try:
+            raw = urlsafe_b64decode(token + b"=" * (-len(token) % 4))
+        except (Base64Error, ValueError):
+            return None
+        mac, body = raw[:MAC_BYTES], raw[MAC_BYTES:]
+        key = self.keys.keys.get(body[0]) if body else None
+        if key is None or not compare_digest(mac, self._mac(key, body)):
+            return None
+        try:
+            return self.decoder.decode(body[1:])
+        except (ValidationError, MsgspecDecodeError):
+            return None
+
+
+class StampIssuer:
+    """Issues the stamps of one agent in one tenure.
+
+    Parameters
+    ----------
+    codec : StampCodec
+        Makes the tokens.
+    service, target : int
+        The agent.
+    tenure : int
+        Its tenure.
+    """
+
+    def __init__(
+        self, codec: StampCodec, *, service: int, target: int, tenure: int
+    ) -> None:
+        self.codec = codec
+        self.service = service
+        self.target = target
+        self.tenure = tenure
+        self.sequence = 0
+
+    def issue(self) -> bytes:
+        """Return a fresh token for an answer."""
+        self.sequence += 1
+        stamp = Stamp(self.service, self.target, self.tenure, self.sequence)
+        return self.codec.encode(stamp)
--- /dev/null
+++ b/tests/test_requests_admission.py
@@ -0,0 +1,207 @@
+"""The admission policy of one agent."""
+
+from dataclasses import replace
+from random import Random
+
+from pytest import mark
+
+from balsamtide.admission import (
+    AdmissionIdentity,
+    DeadlineAdmission,
+    Refused,
+    Start,
+    Transfer,
+)
+from balsamtide.protocol.messages import LoadReport
+from balsamtide.requests.exits import Exit
+from balsamtide.telemetry.memory_sink import MemorySink
+from tests.fakes_requests import make_request, make_service
+
+RAN = Exit.ANSWERED.outcome(status=200, service_time_s=0.02)
+
+
+def make_admission(service=None, target=1):
+    """Return the policy of one agent."""
+    return DeadlineAdmission(
+        AdmissionIdentity(
+            instance=f"i{target}", incarnation=1, target=target, tenure=target
+        ),
+        service or make_service(),
+        now=0.0,
+        random=Random(1),
+        sink=MemorySink(),
+    )
+
+
+def report(target, free=1, wait_us=0, state="ready"):
+    """Return a peer's load report."""
+    return LoadReport("i", 1, 1, target, free, wait_us, wait_us, state, target)
+
+
+def test_free_slot_starts_at_once():
+    """A request starts when the slot is free, and the next one waits."""
+    policy = make_admission()
+    assert policy.arrive(make_request("a"), 0.0) == [Start("a")]
+    assert policy.arrive(make_request("b"), 0.0) == ()
+    assert policy.finish("a", RAN, 0.02) == [Start("b", "short")]
+
+
+def test_queue_is_in_order_of_deadline():
+    """The request with the earliest deadline starts first."""
+    policy = make_admission()
+    policy.arrive(make_request("a"), 0.0)
+    policy.arrive(make_request("late", deadline=0.9, caller="x"), 0.0)
+    policy.arrive(make_request("soon", deadline=0.5, caller="y"), 0.0)
+    assert policy.finish("a", RAN, 0.02)[0].request_id == "soon"
+
+
+def test_callers_take_turns():
+    """A caller with many requests doesn't hold back the others."""
+    policy = make_admission()
+    policy.arrive(make_request("a"), 0.0)
+    for n in range(5):
+        policy.arrive(make_request(f"crowd{n}", caller="x", deadline=0.5), 0.0)
+    policy.arrive(make_request("lone", caller="y", deadline=0.9), 0.0)
+    started = []
+    last = "a"
+    for _ in range(3):
+        last = policy.finish(last, RAN, 0.02)[0].request_id
+        started.append(last)
+    assert started == ["crowd0", "lone", "crowd1"]
+
+
+@mark.parametrize(
+    ("deadline", "queued", "expected"),
+    [(0.03, 0, Exit.DEADLINE), (9.0, 12, Exit.OVERLOAD)],
+)
+def test_hopeless_requests_are_refused_at_once(deadline, queued, expected):
+    """A request that can't be answered in time is refused on arrival."""
+    policy = make_admission()
+    policy.arrive(make_request("a"), 0.0)
+    for n in range(queued):
+        policy.arrive(make_request(f"q{n}"), 0.0)
+    (refused,) = policy.arrive(make_request("b", deadline=deadline), 0.0)
+    assert isinstance(refused, Refused)
+    assert refused.refusal.reason == expected.reason
+    assert refused.refusal.retry_after_s > 0
+
+
+def test_busy_agent_offers_to_free_peers():
+    """A request that would wait goes to peers that reported a free slot."""
+    policy = make_admission()
+    policy.receive(report(2), 0.0)
+    policy.receive(report(3, free=0), 0.0)
+    policy.arrive(make_request("a"), 0.0)
+    assert policy.arrive(make_request("b"), 0.0) == [Transfer("b", (2,))]
+    assert policy.transfer_failed("b", 0.001) == ()
+    assert policy.finish("a", RAN, 0.02) == [Start("b", "short")]
+
+
+def test_queued_work_moves_when_a_peer_becomes_free():
+    """A load report with a free slot takes a request out of the queue."""
+    policy = make_admission()
+    policy.arrive(make_request("a"), 0.0)
+    policy.arrive(make_request("b"), 0.0)
+    assert policy.receive(report(2), 0.001) == [Transfer("b", (2,))]
+
+
+def test_long_work_keeps_to_its_targets():
+    """Long work starts only where the service keeps slots for it."""
+    service = make_service()
+    quotas = make_admission(service).quotas
+    assert sum(quotas.values()) == 3
+    for target, quota in quotas.items():
+        policy = make_admission(service, target)
+        policy.receive(report(next(t for t in quotas if t != target and quotas[t])), 0)
+        decisions = policy.arrive(make_request("a", route="/exports", deadline=60), 0)
+        assert isinstance(decisions[0], Start if quota else Transfer)
+
+
+@mark.parametrize(("slots", "most"), [(2, 1), (3, 2)])
+def test_long_work_leaves_the_last_slot(slots, most):
+    """On a target with several slots one is always left to short work."""
+    quotas = make_admission(make_service(4, slots)).quotas
+    assert max(quotas.values()) <= most
+
+
+def test_grant_is_used_once_and_in_time():
+    """A grant turns into a start once, before its deadline."""
+    policy = make_admission()
+    request = make_request("a")
+    assert policy.offer(request, 0.05, 0.0)
+    assert not policy.offer(make_request("b"), 0.05, 0.0)
+    assert policy.arrive(make_request("c"), 0.0) == ()
+    assert policy.use_grant("a", 0.04)
+    assert not policy.use_grant("a", 0.04)
+    other = make_admission()
+    assert other.offer(request, 0.05, 0.0)
+    assert other.deadline == 0.05
+    assert not other.use_grant("a", 0.05)
+    other.tick(0.05)
+    assert other.slots.held == 0
+
+
+def test_failing_target_is_ejected_within_the_share():
+    """Fast errors end the flow of work, unless too many targets are out."""
+    error = Exit.ANSWERED.outcome(status=500, service_time_s=0.001)
+    for ejected_peers, expected in ((0, True), (2, False)):
+        policy = make_admission()
+        for peer in range(2, 2 + ejected_peers):
+            policy.receive(report(peer, 0, state="ejected"), 0.0)
+        for n in range(6):
+            policy.arrive(make_request(f"{n}"), 0.0)
+            policy.finish(f"{n}", error, 0.0)
+        assert policy.health.is_ejected is expected
+        if expected:
+            (refused,) = policy.arrive(make_request("x"), 0.1)
+            assert refused.refusal.reason == Exit.TARGET_EJECTED.reason
+            assert policy.arrive(make_request("trial"), 2.0) == [Start("trial")]
+            policy.finish("trial", RAN, 2.1)
+            assert not policy.health.is_ejected
+
+
+def test_shedding_target_is_paused():
+    """A target that sheds at a window of one gets no work for a moment."""
+    policy = make_admission()
+    policy.arrive(make_request("a"), 0.0)
+    policy.arrive(make_request("b"), 0.0)
+    assert policy.finish("a", Exit.TARGET_SHED.outcome(), 0.01) == []
+    assert policy.tick(policy.limit.paused_until) == [Start("b", "short")]
+
+
+def test_window_grows_and_shrinks():
+    """A cold window opens with answers and closes with refusals."""
+    policy = make_admission(make_service(3, 3))
+    assert policy.limit.allowed(0.0) == 1
+    for n in range(3):
+        policy.arrive(make_request(f"{n}"), 0.0)
+        policy.finish(f"{n}", RAN, 0.02)
+    assert policy.limit.allowed(0.1) == 3
+    policy.arrive(make_request("s"), 0.1)
+    policy.finish("s", Exit.TARGET_SHED.outcome(), 0.1)
+    assert policy.limit.allowed(0.1) == 2
+
+
+def test_routes_are_learned():
+    """A route whose requests take much longer becomes long."""
+    policy = make_admission()
+    for n in range(8):
+        for route, seconds in (("/", 0.02), ("/learned", 2.0)):
+            policy.arrive(make_request(f"{route}{n}", route=route), 0.0)
+            outcome = replace(RAN, service_time_s=seconds)
+            policy.finish(f"{route}{n}", outcome, 0.0)
+    assert policy.classes.size("/learned").value == "long"
+    assert policy.classes.size("/").value == "short"
+
+
+def test_reports_keep_to_their_budget():
+    """Load reports that change all the time stay within the byte budget."""
+    policy = make_admission()
+    sent = 0
+    for step in range(1000):
+        now = step / 100
+        policy.arrive(make_request("a"), now)
+        sent += len(policy.reports(now))
+        policy.finish("a", RAN, now)
+        sent += len(policy.reports(now))
+    assert 0 < sent * 110 <= 4000 * 11
