Hand requests, repeats and ledgers to peers over grpclib

One bidirectional stream carries offer, grant, run, body and answer, so a hand-off costs one call and cancelling it is a stream reset. Silence after the run message is found by signs of life on the stream and keep-alive pings on the connection.

--- /dev/null
+++ b/src/balsamtide/requests/hand_off.py
@@ -0,0 +1,180 @@
+"""Bookkeeping of one hand-off on both sides, without I/O.
+
+The *taker* holds the caller's flow and offers the request; the *giver* grants a slot
+of its target.  A grant is void after its deadline on both sides; the taker counts
+from when it sent the offer, the giver from when it received it, so the taker's
+deadline never is the later one by the giver's clock.
+"""
+
+from enum import Enum
+
+from balsamtide.protocol.verdict import Verdict
+from balsamtide.requests.exits import Exit
+from balsamtide.requests.messages import Finished, Offer, RequestCard
+from balsamtide.requests.model import Outcome, RequestFacts
+
+__all__ = [
+    "GRANT_S",
+    "OFFER_TIMEOUT_S",
+    "SILENCE_S",
+    "Giver",
+    "Taker",
+    "card_of",
+    "facts_of",
+    "finished_of",
+    "outcome_of",
+]
+
+GRANT_S = 0.05
+OFFER_TIMEOUT_S = 0.01
+HOME_TIMEOUT_S = 0.5
+BEAT_S = 1.0
+SILENCE_S = 3.0
+US_PER_S = 1_000_000
+
+
+def card_of(facts: RequestFacts, now: float) -> RequestCard:
+    """Return the wire form of a request."""
+    return RequestCard(
+        facts.request_id,
+        facts.service,
+        facts.route,
+        facts.method,
+        facts.is_idempotent,
+        facts.key,
+        facts.attempt,
+        facts.caller,
+        max(0, int((facts.deadline - now) * US_PER_S)),
+    )
+
+
+def facts_of(card: RequestCard, now: float) -> RequestFacts:
+    """Return the request of its wire form, with a deadline on the local clock."""
+    return RequestFacts(
+        request_id=card.request_id,
+        service=card.service,
+        route=card.route,
+        method=card.method,
+        is_idempotent=card.is_idempotent,
+        key=card.key,
+        attempt=card.attempt,
+        caller=card.caller,
+        arrived=now,
+        deadline=now + card.remaining_us / US_PER_S,
+    )
+
+
+def finished_of(outcome: Outcome) -> Finished:
+    """Return the wire form of an outcome."""
+    time = outcome.service_time_s
+    return Finished(
+        outcome.verdict.value,
+        outcome.status,
+        None if time is None else round(time * US_PER_S),
+        outcome.is_complete,
+        outcome.reason,
+    )
+
+
+def outcome_of(message: Finished) -> Outcome:
+    """Return the outcome of its wire form."""
+    time = message.service_time_us
+    return Outcome(
+        verdict=Verdict(message.verdict),
+        status=message.status,
+        service_time_s=None if time is None else time / US_PER_S,
+        is_complete=message.is_complete,
+        reason=message.reason,
+    )
+
+
+class TakerState(Enum):
+    """How far the taker's side has come."""
+
+    OFFERED = "offered"
+    GRANTED = "granted"
+    RUN_SENT = "run-sent"
+    ANSWERING = "answering"
+
+
+class Taker:
+    """The taker's side of one hand-off.
+
+    Parameters
+    ----------
+    facts : RequestFacts
+        The request.
+    now : float
+        When the offer is sent, seconds on the local clock.
+    """
+
+    def __init__(self, facts: RequestFacts, now: float) -> None:
+        self.facts = facts
+        self.state = TakerState.OFFERED
+        self.grant_deadline = min(now + GRANT_S, facts.deadline)
+        self.answer_deadline = min(now + OFFER_TIMEOUT_S, facts.deadline)
+        self.home_deadline = min(now + HOME_TIMEOUT_S, facts.deadline)
+
+    def offer(self, now: float) -> Offer:
+        """Return the offer."""
+        remaining = max(0, int((self.grant_deadline - now) * US_PER_S))
+        return Offer(card_of(self.facts, now), remaining)
+
+    def granted(self) -> None:
+        """Take the grant."""
+        self.state = TakerState.GRANTED
+
+    def use(self, now: float) -> bool:
+        """Tell whether the run message may be sent now; True only once."""
+        if self.state is not TakerState.GRANTED or now >= self.grant_deadline:
+            return False
+        self.state = TakerState.RUN_SENT
+        return True
+
+    def run_started(self) -> None:
+        """Take the word of a home that it runs the request."""
+        self.state = TakerState.RUN_SENT
+
+    def answer_started(self) -> None:
+        """Take the head of the answer."""
+        self.state = TakerState.ANSWERING
+
+    def lost(self, *, is_silent: bool) -> Exit:
+        """Return how the request ends when the peer is lost now."""
+        match self.state:
+            case TakerState.OFFERED | TakerState.GRANTED:
+                return Exit.PEER_LOST_BEFORE_RUN
+            case TakerState.RUN_SENT:
+                return Exit.PEER_SILENT if is_silent else Exit.PEER_LOST_AFTER_RUN
+            case TakerState.ANSWERING:
+                return Exit.PEER_LOST_IN_ANSWER
+
+
+class Giver:
+    """The giver's side of one hand-off.
+
+    Parameters
+    ----------
+    offer : Offer
+        What was received.
+    now : float
+        When it was received, seconds on the local clock.
+    """
+
+    def __init__(self, offer: Offer, now: float) -> None:
+        self.facts = facts_of(offer.card, now)
+        self.grant_deadline = min(
+            now + min(GRANT_S, offer.grant_us / US_PER_S), self.facts.deadline
+        )
+        self.is_used = False
+
+    def remaining_us(self, now: float) -> int:
+        """Return the time left to use the grant, microseconds."""
+        return max(0, int((self.grant_deadline - now) * US_PER_S))
+
+    def use(self, now: float) -> bool:
+        """Tell whether a run message that came now may start; True only once."""
+        if self.is_used or now >= self.grant_deadline:
+            return False
+        self.is_used = True
+        return True
--- /dev/null
+++ b/src/balsamtide/requests/hand_off_client.py
@@ -0,0 +1,463 @@
+"""The taker's side of hand-offs over grpclib."""
+
+from collections.abc import AsyncIterator, Callable, Sequence
+from contextlib import asynccontextmanager, suppress
+from dataclasses import dataclass
+from ssl import SSLContext
+from typing import Any
+
+from grpclib.client import Channel, StreamStreamMethod, StreamUnaryMethod
+from grpclib.config import Configuration
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+from trio import (
+    BrokenResourceError,
+    CancelScope,
+    ClosedResourceError,
+    current_time,
+    move_on_after,
+    move_on_at,
+    open_nursery,
+)
+from trio_asyncio import aio_as_trio
+
+from balsamtide.protocol.errors import DecodeError
+from balsamtide.protocol.messages import Endpoint
+from balsamtide.protocol.rpc import RpcCodec
+from balsamtide.protocol.verdict import Verdict
+from balsamtide.requests.errors import (
+    AttemptsFailed,
+    GrantError,
+    HandOffError,
+    RequestError,
+)
+from balsamtide.requests.exits import Exit
+from balsamtide.requests.hand_off import (
+    SILENCE_S,
+    Taker,
+    TakerState,
+    card_of,
+    outcome_of,
+)
+from balsamtide.requests.hand_off_server import EXCHANGE_METHOD, LEDGER_METHOD
+from balsamtide.requests.home import AskHome, KeyedRun
+from balsamtide.requests.ledger import LedgerImage
+from balsamtide.requests.messages import (
+    AnswerHead,
+    AnswerPart,
+    AskRun,
+    Beat,
+    BodyPart,
+    Denied,
+    Finished,
+    FromGiver,
+    FromTaker,
+    Granted,
+    LedgerPiece,
+    LedgerTaken,
+    Run,
+)
+from balsamtide.requests.model import Outcome, RequestFacts
+from balsamtide.requests.runner import AnswerWriter, RequestHead, Runner
+from balsamtide.requests.succession import LedgerTransfer
+
+__all__ = ["RPC_CONFIGURATION", "HandOffClient", "HandOffRunner", "HomeRunner"]
+
+KEEPALIVE_S = 2.0
+CLOSE_S = 0.5
+PIECE_ENTRIES = 256
+
+RPC_CONFIGURATION = Configuration(
+    _keepalive_time=KEEPALIVE_S,
+    _keepalive_timeout=KEEPALIVE_S,
+    _keepalive_permit_without_calls=True,
+    _http2_max_pings_without_data=0,
+    _http2_min_sent_ping_interval_without_data=KEEPALIVE_S / 2,
+)
+
+LOST = (
+    BrokenResourceError,
+    ClosedResourceError,
+    DecodeError,
+    GRPCError,
+    OSError,
+    ProtocolError,
+    StreamTerminatedError,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class RequestParts:
+    """One request with where its answer goes.
+
+    Parameters
+    ----------
+    facts : RequestFacts
+        What decisions need.
+    head : RequestHead
+        Method, path and headers.
+    body : async iterator of bytes
+        The body; it is read from another task than the runner's.
+    answer : AnswerWriter
+        Where the answer goes.
+    """
+
+    facts: RequestFacts
+    head: RequestHead
+    body: AsyncIterator[bytes]
+    answer: AnswerWriter
+
+
+@asynccontextmanager
+async def _open(method: Any) -> AsyncIterator[Any]:
+    """Open a stream; leaving early resets it, which tells the peer.
+
+    What goes wrong on the way out is ignored, as the outcome is known by then.
+    """
+    context = method.open()
+    stream = await aio_as_trio(context.__aenter__)()
+    error: BaseException | None = None
+    try:
+        yield stream
+    except BaseException as raised:
+        error = raised
+        raise
+    finally:
+        cause = type(error) if error else None
+        with suppress(*LOST), CancelScope(shield=True), move_on_after(CLOSE_S):
+            await aio_as_trio(context.__aexit__)(cause, error, None)
+
+
+async def _receive(stream: Any, deadline: float) -> FromGiver | None:
+    """Return the next message that is no beat, None when the peer is silent."""
+    receive = aio_as_trio(stream.recv_message)
+    while True:
+        message: FromGiver | None = None
+        with move_on_at(min(deadline, current_time() + SILENCE_S)):
+            message = await receive()
+            if message is None:
+                raise ProtocolError("stream ended without an outcome")
+        if not isinstance(message, Beat):
+            return message
+
+
+async def _pump(stream: Any, body: AsyncIterator[bytes]) -> None:
+    send = aio_as_trio(stream.send_message)
+    try:
+        async for chunk in body:
+            await send(BodyPart(chunk))
+        await aio_as_trio(stream.end)()
+    except LOST:
+        # The receiving side sees the loss too and has the verdict.
+        return
+
+
+async def _pass_answer(
+    stream: Any, taker: Taker, answer: AnswerWriter, first: FromGiver | None
+) -> Outcome:
+    """Pass the answer on until the outcome; silence and loss get their verdict."""
+    message = first or await _receive(stream, float("inf"))
+    while not isinstance(message, Finished):
+        match message:
+            case AnswerHead(status, headers):
+                taker.answer_started()
+                await answer.start(status, headers)
+            case AnswerPart(octets):
+                await answer.write(octets)
+            case None:
+                return taker.lost(is_silent=True).outcome()
+            case _:
+                raise ProtocolError(f"unexpected {type(message).__name__}")
+        message = await _receive(stream, float("inf"))
+    return outcome_of(message)
+
+
+async def _exchange_parts(stream: Any, taker: Taker, parts: RequestParts) -> Outcome:
+    """Send the body and pass the answer on at the same time."""
+    async with open_nursery() as nursery:
+        nursery.start_soon(_pump, stream, parts.body)
+        try:
+            outcome = await _pass_answer(stream, taker, parts.answer, None)
+        except LOST:
+            outcome = taker.lost(is_silent=False).outcome()
+        nursery.cancel_scope.cancel()
+    return outcome
+
+
+class HandOffClient:
+    """Connections to the peers of one agent; used in one trio-asyncio loop.
+
+    Parameters
+    ----------
+    endpoint : callable
+        Returns the RPC endpoint of a target's agent, None if there is none.
+    ssl : SSLContext or None
+        Client side of mutual TLS.
+    on_round_trip : callable or None
+        Takes target number and seconds from offer to grant.
+    """
+
+    def __init__(
+        self,
+        endpoint: Callable[[int], Endpoint | None],
+        *,
+        ssl: SSLContext | None = None,
+        on_round_trip: Callable[[int, float], None] | None = None,
+    ) -> None:
+        self.endpoint = endpoint
+        self.ssl = ssl
+        self.on_round_trip = on_round_trip
+        self.channels: dict[int, tuple[Endpoint, Channel]] = {}
+
+    def channel(self, target: int) -> Channel:
+        """Return the connection to a peer, made on first use.
+
+        Raises
+        ------
+        GrantError
+            If the target has no agent.
+        """
+        endpoint = self.endpoint(target)
+        if endpoint is None:
+            raise GrantError("no-grant", f"target {target} has no agent")
+        known = self.channels.get(target)
+        if known is not None and known[0] == endpoint:
+            return known[1]
+        self.drop(target)
+        channel = Channel(
+            endpoint.host,
+            endpoint.port,
+            codec=RpcCodec(),
+            ssl=self.ssl,
+            config=RPC_CONFIGURATION,
+        )
+        self.channels[target] = endpoint, channel
+        return channel
+
+    def drop(self, target: int) -> None:
+        """Close the connection to a peer; the next use makes a fresh one."""
+        known = self.channels.pop(target, None)
+        if known is not None:
+            known[1].close()
+
+    def close(self) -> None:
+        """Close all connections."""
+        for target in list(self.channels):
+            self.drop(target)
+
+    def exchange(self, target: int) -> StreamStreamMethod[FromTaker, FromGiver]:
+        """Return the method that hands a request to ``target``."""
+        channel = self.channel(target)
+        return StreamStreamMethod(
+            channel,
+            EXCHANGE_METHOD,
+            FromTaker,  # type: ignore[arg-type]
+            FromGiver,  # type: ignore[arg-type]
+        )
+
+    def runner(
+        self, targets: Sequence[int], keyed: KeyedRun | None = None
+    ) -> "HandOffRunner":
+        """Return a runner that offers a request to ``targets`` in turn."""
+        return HandOffRunner(self, targets, keyed)
+
+    def home_runner(self, ask: AskHome) -> "HomeRunner":
+        """Return a runner that passes a repeat to its home."""
+        return HomeRunner(self, ask)
+
+    async def send_ledger(self, target: int, image: LedgerImage) -> LedgerTransfer:
+        """Send a closed ledger to its successor."""
+        is_sent = False
+        try:
+            method: Any = StreamUnaryMethod(
+                self.channel(target), LEDGER_METHOD, LedgerPiece, LedgerTaken
+            )
+            with move_on_after(SILENCE_S):
+                async with _open(method) as stream:
+                    await aio_as_trio(stream.send_request)()
+                    is_sent = True
+                    return await self._send_pieces(stream, image)
+        except (*LOST, HandOffError):
+            pass
+        return LedgerTransfer.UNSURE if is_sent else LedgerTransfer.NOT_SENT
+
+    async def _send_pieces(self, stream: Any, image: LedgerImage) -> LedgerTransfer:
+        send = aio_as_trio(stream.send_message)
+        for first in range(0, max(1, len(image.entries)), PIECE_ENTRIES):
+            piece = LedgerPiece(
+                image.target,
+                image.tenure,
+                image.watermark,
+                image.entries[first : first + PIECE_ENTRIES],
+                first + PIECE_ENTRIES >= len(image.entries),
+            )
+            await send(piece)
+        await aio_as_trio(stream.end)()
+        reply = await aio_as_trio(stream.recv_message)()
+        if reply is None:
+            return LedgerTransfer.UNSURE
+        return LedgerTransfer.ADOPTED if reply.is_adopted else LedgerTransfer.REFUSED
+
+
+class HandOffRunner(Runner):
+    """Offers a request to peers in turn and runs it at the first that grants.
+
+    The outcome ``NOT_RUN`` with the reason ``"no-grant"`` says that no peer granted
+    and that the body was not touched.  ``attempts`` lists the failures and ``target``
+    names the peer that ran the request.
+
+    Parameters
+    ----------
+    client : HandOffClient
+        Connections to the peers.
+    targets : sequence of int
+        Target numbers, best first.
+    keyed : KeyedRun or None
+        Claim in the ledger of the home, for a keyed request.
+    """
+
+    def __init__(
+        self, client: HandOffClient, targets: Sequence[int], keyed: KeyedRun | None
+    ) -> None:
+        self.client = client
+        self.targets = targets
+        self.keyed = keyed
+        self.target: int | None = None
+        self.attempts: list[RequestError] = []
+
+    async def run(
+        self,
+        facts: RequestFacts,
+        head: RequestHead,
+        body: AsyncIterator[bytes],
+        answer: AnswerWriter,
+    ) -> Outcome:
+        """Run the request at a peer."""
+        parts = RequestParts(facts, head, body, answer)
+        for target in self.targets:
+            try:
+                return await self._attempt(target, parts)
+            except GrantError as error:
+                self.attempts.append(error)
+        return Exit.NO_GRANT.outcome()
+
+    @property
+    def error(self) -> AttemptsFailed:
+        """The failed attempts as one error."""
+        return AttemptsFailed("no peer took the request", self.attempts)
+
+    async def _attempt(self, target: int, parts: RequestParts) -> Outcome:
+        """Raise ``GrantError`` as long as nothing but the offer was sent."""
+        taker = Taker(parts.facts, current_time())
+        method = self.client.exchange(target)
+        try:
+            async with _open(method) as stream:
+                await self._offer(stream, taker, target)
+                return await self._run_granted(stream, taker, parts, target)
+        except LOST as error:
+            if taker.state in (TakerState.OFFERED, TakerState.GRANTED):
+                reason = Exit.PEER_LOST_BEFORE_RUN.reason
+                raise GrantError(reason, repr(error)) from error
+            return taker.lost(is_silent=False).outcome()
+
+    async def _offer(self, stream: Any, taker: Taker, target: int) -> None:
+        sent_at = current_time()
+        reply: FromGiver | None = None
+        with move_on_at(taker.answer_deadline):
+            await aio_as_trio(stream.send_message)(taker.offer(sent_at))
+            reply = await aio_as_trio(stream.recv_message)()
+        now = current_time()
+        if isinstance(reply, Denied):
+            raise GrantError(Exit.NO_GRANT.reason, f"target {target}: {reply.reason}")
+        if not isinstance(reply, Granted):
+            raise GrantError(Exit.NO_GRANT.reason, f"target {target} did not answer")
+        if self.client.on_round_trip is not None:
+            self.client.on_round_trip(target, now - sent_at)
+        taker.granted()
+
+    async def _run_granted(
+        self, stream: Any, taker: Taker, parts: RequestParts, target: int
+    ) -> Outcome:
+        if self.keyed is not None and not self.keyed.start():
+            return Exit.TENURE_CLOSED.outcome()
+        now = current_time()
+        if not taker.use(now):
+            self._take_back()
+            raise GrantError(Exit.GRANT_EXPIRED.reason, f"target {target}")
+        self.target = target
+        remaining = card_of(parts.facts, now).remaining_us
+        run = Run(parts.head.path, parts.head.headers, remaining)
+        await aio_as_trio(stream.send_message)(run)
+        outcome = await _exchange_parts(stream, taker, parts)
+        if outcome.verdict is Verdict.NOT_RUN:
+            self._take_back()
+        return outcome
+
+    def _take_back(self) -> None:
+        if self.keyed is not None:
+            self.keyed.unstart()
+
+
+class HomeRunner(Runner):
+    """Passes a repeat to its home; candidates that aren't it are passed over.
+
+    Only the holder of the tenure's ledger can run the request, so asking another
+    candidate after one fell silent can't double it.
+
+    Parameters
+    ----------
+    client : HandOffClient
+        Connections to the peers.
+    ask : AskHome
+        The candidates and the stamp.
+    """
+
+    def __init__(self, client: HandOffClient, ask: AskHome) -> None:
+        self.client = client
+        self.ask = ask
+        self.target: int | None = None
+
+    async def run(
+        self,
+        facts: RequestFacts,
+        head: RequestHead,
+        body: AsyncIterator[bytes],
+        answer: AnswerWriter,
+    ) -> Outcome:
+        """Run the repeat at its home, or get the recorded answer from it."""
+        parts = RequestParts(facts, head, body, answer)
+        outcome = Exit.HOME_UNREACHABLE.outcome()
+        for target in self.ask.targets:
+            taker = Taker(facts, current_time())
+            try:
+                outcome = await self._attempt(target, taker, parts)
+            except (*LOST, HandOffError):
+                outcome = Exit.HOME_UNREACHABLE.outcome()
+            if taker.state is TakerState.ANSWERING and not outcome.is_complete:
+                return Exit.PEER_LOST_IN_ANSWER.outcome(status=outcome.status)
+            if outcome.reason not in PASSED_OVER or taker.state in TOUCHED:
+                self.target = target
+                return outcome
+        return outcome
+
+    async def _attempt(self, target: int, taker: Taker, parts: RequestParts) -> Outcome:
+        ask = AskRun(
+            card_of(parts.facts, current_time()),
+            self.ask.stamp,
+            parts.head.path,
+            parts.head.headers,
+        )
+        async with _open(self.client.exchange(target)) as stream:
+            reply: FromGiver | None = None
+            with move_on_at(taker.home_deadline):
+                await aio_as_trio(stream.send_message)(ask)
+                reply = await aio_as_trio(stream.recv_message)()
+            if reply is None:
+                return Exit.HOME_UNREACHABLE.outcome()
+            if not isinstance(reply, Granted):
+                return await _pass_answer(stream, taker, parts.answer, reply)
+            taker.run_started()
+            return await _exchange_parts(stream, taker, parts)
+
+
+PASSED_OVER = frozenset((Exit.TENURE_GONE.reason, Exit.HOME_UNREACHABLE.reason))
+TOUCHED = frozenset((TakerState.RUN_SENT, TakerState.ANSWERING))
--- /dev/null
+++ b/src/balsamtide/requests/hand_off_server.py
@@ -0,0 +1,227 @@
+"""The giver's side of hand-offs as a grpclib service.
+
+Register it on a grpclib ``Server`` that runs in a trio-asyncio loop; several services
+can share the server.
+"""
+
+from collections.abc import AsyncIterator
+from typing import Any
+
+from grpclib.const import Cardinality, Handler
+from trio import (
+    Lock,
+    current_time,
+    move_on_after,
+    move_on_at,
+    open_nursery,
+    sleep_until,
+)
+from trio_asyncio import aio_as_trio, trio_as_aio
+
+from balsamtide.requests.exits import Exit
+from balsamtide.requests.hand_off import (
+    BEAT_S,
+    SILENCE_S,
+    Giver,
+    facts_of,
+    finished_of,
+)
+from balsamtide.requests.hand_off_host import HandOffHost
+from balsamtide.requests.home import Refuse, Replay, RunHere
+from balsamtide.requests.ledger import LedgerImage
+from balsamtide.requests.messages import (
+    AnswerHead,
+    AnswerPart,
+    AskRun,
+    Beat,
+    BodyPart,
+    Denied,
+    FromGiver,
+    FromTaker,
+    Granted,
+    LedgerPiece,
+    LedgerTaken,
+    Offer,
+    Run,
+)
+from balsamtide.requests.model import Outcome
+from balsamtide.requests.runner import AnswerWriter, Header, RequestHead
+
+__all__ = ["EXCHANGE_METHOD", "LEDGER_METHOD", "HandOffService"]
+
+EXCHANGE_METHOD = "/balsamtide.HandOff/Exchange"
+LEDGER_METHOD = "/balsamtide.HandOff/TakeLedger"
+MOST_LEDGER_ENTRIES = 100_000
+
+
+class StreamAnswer(AnswerWriter):
+    """Sends an answer to the taker, with signs of life while it is silent.
+
+    Parameters
+    ----------
+    stream : grpclib.server.Stream
+        The stream of the exchange.
+    """
+
+    def __init__(self, stream: Any) -> None:
+        self.send_message = aio_as_trio(stream.send_message)
+        self.lock = Lock()
+        self.next_beat = current_time() + BEAT_S
+
+    async def send(self, message: FromGiver) -> None:
+        """Send one message; returns when flow control took it."""
+        async with self.lock:
+            await self.send_message(message)
+        self.next_beat = current_time() + BEAT_S
+
+    async def start(self, status: int, headers: tuple[Header, ...]) -> None:
+        """Send the head of the answer."""
+        await self.send(AnswerHead(status, headers))
+
+    async def write(self, chunk: bytes) -> None:
+        """Send a part of the body."""
+        await self.send(AnswerPart(chunk))
+
+    async def beat(self) -> None:
+        """Send signs of life until cancelled."""
+        while True:
+            await sleep_until(self.next_beat)
+            if current_time() >= self.next_beat:
+                await self.send(Beat())
+
+
+async def _body(stream: Any) -> AsyncIterator[bytes]:
+    receive = aio_as_trio(stream.recv_message)
+    while (message := await receive()) is not None:
+        if isinstance(message, BodyPart):
+            yield message.octets
+
+
+class HandOffService:
+    """Grants slots to peers, runs what they hand off and answers repeats.
+
+    Parameters
+    ----------
+    host : HandOffHost
+        The agent.
+    """
+
+    def __init__(self, host: HandOffHost) -> None:
+        self.host = host
+
+    def __mapping__(self) -> dict[str, Handler]:
+        """Return the methods of the service for grpclib."""
+        return {
+            EXCHANGE_METHOD: Handler(
+                self.exchange, Cardinality.STREAM_STREAM, FromTaker, FromGiver
+            ),
+            LEDGER_METHOD: Handler(
+                self.take_ledger, Cardinality.STREAM_UNARY, LedgerPiece, LedgerTaken
+            ),
+        }
+
+    async def exchange(self, stream: Any) -> None:
+        """Serve one hand-off or one repeat; an asyncio handler."""
+        await trio_as_aio(self._exchange)(stream)
+
+    async def _exchange(self, stream: Any) -> None:
+        answer = StreamAnswer(stream)
+        match await aio_as_trio(stream.recv_message)():
+            case Offer() as offer:
+                await self._serve_offer(offer, stream, answer)
+            case AskRun() as ask:
+                await self._serve_repeat(ask, stream, answer)
+
+    async def _serve_offer(
+        self, offer: Offer, stream: Any, answer: StreamAnswer
+    ) -> None:
+        giver = Giver(offer, current_time())
+        if not self.host.offer(giver.facts, giver.grant_deadline):
+            await answer.send(Denied("no-slot"))
+            return
+        is_started = False
+        try:
+            run = await self._await_run(giver, stream, answer)
+            is_started = run is not None
+        finally:
+            if not is_started:
+                self.host.withdraw(giver.facts.request_id)
+        if run is None:
+            await answer.send(finished_of(Exit.GRANT_EXPIRED.outcome()))
+            return
+        head = RequestHead(giver.facts.method, run.path, run.headers)
+        body = _body(stream)
+        outcome = await self._run(
+            answer, self.host.run_granted, giver.facts, head, body
+        )
+        await answer.send(finished_of(outcome))
+
+    async def _await_run(
+        self, giver: Giver, stream: Any, answer: StreamAnswer
+    ) -> Run | None:
+        message = None
+        with move_on_at(giver.grant_deadline):
+            await answer.send(Granted(giver.remaining_us(current_time())))
+            message = await aio_as_trio(stream.recv_message)()
+        if not isinstance(message, Run) or not giver.use(current_time()):
+            return None
+        return message if self.host.use_grant(giver.facts.request_id) else None
+
+    async def _serve_repeat(
+        self, ask: AskRun, stream: Any, answer: StreamAnswer
+    ) -> None:
+        facts = facts_of(ask.card, current_time())
+        decision = self.host.decide_asked(facts, ask.stamp)
+        match decision:
+            case Replay(recorded):
+                await answer.start(recorded.status, recorded.headers)
+                await answer.write(recorded.body)
+                outcome = Exit.REPLAYED.outcome(status=recorded.status)
+            case RunHere():
+                await answer.send(Granted(0))
+                head = RequestHead(facts.method, ask.path, ask.headers)
+                body = _body(stream)
+                outcome = await self._run(
+                    answer, self.host.run_repeat, facts, decision, head, body
+                )
+            case Refuse(refusal):
+                outcome = Outcome(
+                    verdict=refusal.verdict,
+                    status=refusal.status,
+                    is_complete=False,
+                    reason=refusal.reason,
+                )
+            case _:
+                outcome = Exit.TENURE_GONE.outcome()
+        await answer.send(finished_of(outcome))
+
+    async def _run(self, answer: StreamAnswer, run: Any, *arguments: Any) -> Outcome:
+        async with open_nursery() as nursery:
+            nursery.start_soon(answer.beat)
+            outcome: Outcome = await run(*arguments, answer)
+            nursery.cancel_scope.cancel()
+        return outcome
+
+    async def take_ledger(self, stream: Any) -> None:
+        """Take the pieces of a closed ledger; an asyncio handler."""
+        await trio_as_aio(self._take_ledger)(stream)
+
+    async def _take_ledger(self, stream: Any) -> None:
+        image = await self._receive_image(stream)
+        is_adopted = image is not None and self.host.adopt(image)
+        await aio_as_trio(stream.send_message)(LedgerTaken(is_adopted))
+
+    async def _receive_image(self, stream: Any) -> LedgerImage | None:
+        receive = aio_as_trio(stream.recv_message)
+        entries: list[Any] = []
+        while True:
+            piece = None
+            with move_on_after(SILENCE_S):
+                piece = await receive()
+            if piece is None or len(entries) > MOST_LEDGER_ENTRIES:
+                return None
+            entries.extend(piece.entries)
+            if piece.is_last:
+                return LedgerImage(
+                    piece.target, piece.tenure, piece.watermark, tuple(entries)
+                )
--- a/src/balsamtide/requests/home.py
+++ b/src/balsamtide/requests/home.py
@@ -6,6 +6,7 @@
 
 from dataclasses import dataclass
 
+from balsamtide.config.model import Service
 from balsamtide.protocol.messages import TenureClosed
 from balsamtide.protocol.verdict import Verdict
 from balsamtide.requests.exits import Exit
@@ -19,6 +20,7 @@
 )
 from balsamtide.requests.model import Refusal, RequestFacts
 from balsamtide.requests.stamp import Stamp
+from balsamtide.requests.succession import successors
 
 __all__ = [
     "AskHome",
@@ -32,6 +34,7 @@
 
 MOST_ADOPTED = 16
 MOST_CLOSURES = 256
+MOST_CANDIDATES = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,9 +90,18 @@
 
 @dataclass(frozen=True, slots=True)
 class AskHome:
-    """Pass the repeat to the agent of this target, which is or knows the home."""
+    """Pass the repeat to the first of these targets' agents that is the home.
 
-    target: int
+    Parameters
+    ----------
+    targets : tuple of int
+        Candidates: the issuer or the announced successor, then those that would
+        have succeeded it.
+    stamp : Stamp
+        The stamp that the key came with.
+    """
+
+    targets: tuple[int, ...]
     stamp: Stamp
 
 
@@ -117,9 +129,14 @@
     def __init__(self, service: int, ledger: Ledger) -> None:
         self.service = service
         self.ledger = ledger
+        self.configuration: Service | None = None
         self.adopted: dict[int, Ledger] = {}
         self.closures: dict[int, int] = {}
 
+    def configure(self, configuration: Service) -> None:
+        """Take the service of a new configuration version."""
+        self.configuration = configuration
+
     def decide(
         self, request: RequestFacts, stamp: Stamp | None, now: float
     ) -> HomeDecision:
@@ -136,10 +153,7 @@
             return Refuse(Exit.STAMP_OTHER_SERVICE.refusal())
         ledger = self._ledger(stamp.tenure)
         if ledger is None:
-            target = self.closures.get(stamp.tenure, stamp.target)
-            if target == self.ledger.target:
-                return Refuse(Exit.TENURE_GONE.refusal())
-            return AskHome(target, stamp)
+            return self._ask(stamp)
         return self._decide_by(ledger, request, request.key, stamp, now)
 
     def decide_asked(
@@ -218,6 +232,20 @@
             case Claim.FULL:
                 return Refuse(Exit.LEDGER_FULL.refusal())
 
+    def _ask(self, stamp: Stamp) -> HomeDecision:
+        announced = self.closures.get(stamp.tenure, stamp.target)
+        candidates = [announced]
+        if self.configuration is not None:
+            candidates += successors(self.configuration, stamp.target)
+        targets = tuple(
+            target
+            for target in dict.fromkeys(candidates)
+            if target != self.ledger.target
+        )
+        if not targets:
+            return Refuse(Exit.TENURE_GONE.refusal())
+        return AskHome(targets[:MOST_CANDIDATES], stamp)
+
     def _replay(self, entry: Entry | None) -> HomeDecision:
         if entry is None or entry.verdict is not Verdict.RAN:
             return Refuse(Exit.OUTCOME_UNKNOWN.refusal())
--- /dev/null
+++ b/src/balsamtide/requests/messages.py
@@ -0,0 +1,153 @@
+"""Messages of the hand-off between two agents, over grpclib.
+
+Durations are microseconds that remain; no clock reading leaves a process.
+"""
+
+from msgspec import Struct
+
+from balsamtide.requests.ledger import ImageEntry
+from balsamtide.requests.runner import Header
+from balsamtide.requests.stamp import Stamp
+
+__all__ = [
+    "AnswerHead",
+    "AnswerPart",
+    "AskRun",
+    "Beat",
+    "BodyPart",
+    "Denied",
+    "Finished",
+    "FromGiver",
+    "FromTaker",
+    "Granted",
+    "LedgerPiece",
+    "LedgerTaken",
+    "Offer",
+    "RequestCard",
+    "Run",
+]
+
+
+class RequestCard(Struct, frozen=True, array_like=True):
+    """The facts of a request, with the time that remains to its deadline."""
+
+    request_id: str
+    service: str
+    route: str
+    method: str
+    is_idempotent: bool
+    key: str | None
+    attempt: int
+    caller: str
+    remaining_us: int
+
+
+class Offer(Struct, frozen=True, array_like=True, tag=1):
+    """A request that the sender would like to run at the receiver.
+
+    Parameters
+    ----------
+    card : RequestCard
+        The request.
+    grant_us : int
+        How long the sender will wait for and use a grant.
+    """
+
+    card: RequestCard
+    grant_us: int
+
+
+class Run(Struct, frozen=True, array_like=True, tag=2):
+    """Use of the grant; the body follows."""
+
+    path: str
+    headers: tuple[Header, ...]
+    remaining_us: int
+
+
+class BodyPart(Struct, frozen=True, array_like=True, tag=3):
+    """A part of the request's body; the end of the stream ends it."""
+
+    octets: bytes
+
+
+class AskRun(Struct, frozen=True, array_like=True, tag=4):
+    """A repeat for its home: answer it, or grant it and then get the body."""
+
+    card: RequestCard
+    stamp: Stamp
+    path: str
+    headers: tuple[Header, ...]
+
+
+class Granted(Struct, frozen=True, array_like=True, tag=1):
+    """A slot is reserved for ``remaining_us``."""
+
+    remaining_us: int
+
+
+class Denied(Struct, frozen=True, array_like=True, tag=2):
+    """No slot is free."""
+
+    reason: str
+
+
+class AnswerHead(Struct, frozen=True, array_like=True, tag=3):
+    """Status and headers of the answer."""
+
+    status: int
+    headers: tuple[Header, ...]
+
+
+class AnswerPart(Struct, frozen=True, array_like=True, tag=4):
+    """A part of the answer's body."""
+
+    octets: bytes
+
+
+class Finished(Struct, frozen=True, array_like=True, tag=5):
+    """The outcome; nothing follows.
+
+    Parameters
+    ----------
+    verdict : str
+        Value of the verdict.
+    status : int
+        HTTP status.
+    service_time_us : int or None
+        Time on the target.
+    is_complete : bool
+        Whether the whole answer was sent.
+    reason : str
+        Reason of a refusal or failure.
+    """
+
+    verdict: str
+    status: int
+    service_time_us: int | None
+    is_complete: bool
+    reason: str
+
+
+class Beat(Struct, frozen=True, array_like=True, tag=6):
+    """A sign of life on a stream without other messages."""
+
+
+class LedgerPiece(Struct, frozen=True, array_like=True):
+    """A part of a closed ledger; the one with ``is_last`` completes it."""
+
+    target: int
+    tenure: int
+    watermark: int
+    entries: tuple[ImageEntry, ...]
+    is_last: bool
+
+
+class LedgerTaken(Struct, frozen=True, array_like=True):
+    """Whether the receiver is the successor now."""
+
+    is_adopted: bool
+
+
+FromTaker = Offer | Run | BodyPart | AskRun
+FromGiver = Granted | Denied | AnswerHead | AnswerPart | Finished | Beat
--- /dev/null
+++ b/src/balsamtide/requests/succession.py
@@ -0,0 +1,65 @@
+"""Who takes over a closed ledger: one successor at most.
+
+The order of candidates is a pure function of the configuration, so an agent that
+never heard of a closure still finds the successor.
+"""
+
+from collections.abc import Sequence
+from enum import Enum
+
+from xxhash import xxh3_64_intdigest
+
+from balsamtide.config.model import Service, TargetState
+
+__all__ = ["LedgerTransfer", "Succession", "successors"]
+
+
+def successors(service: Service, target: int) -> tuple[int, ...]:
+    """Return the targets whose agents may succeed ``target``, in order."""
+    numbers = [
+        other.number
+        for other in service.targets.values()
+        if other.state is TargetState.ACTIVE and other.number != target
+    ]
+    return tuple(sorted(numbers, key=lambda n: _weight(service.number, target, n)))
+
+
+def _weight(service: int, target: int, candidate: int) -> int:
+    return xxh3_64_intdigest(f"{service}:{target}:{candidate}".encode())
+
+
+class LedgerTransfer(Enum):
+    """How the transfer of a closed ledger to one candidate ended."""
+
+    ADOPTED = "adopted"
+    REFUSED = "refused"
+    NOT_SENT = "not-sent"
+    UNSURE = "unsure"
+
+
+class Succession:
+    """The choice of a successor; after an unsure transfer no other is tried.
+
+    Parameters
+    ----------
+    candidates : sequence of int
+        Target numbers in order.
+    """
+
+    def __init__(self, candidates: Sequence[int]) -> None:
+        self.left = list(candidates)
+        self.successor: int | None = None
+        self.is_over = not self.left
+
+    @property
+    def candidate(self) -> int | None:
+        """The target to send the ledger to next, None when it is over."""
+        return None if self.is_over else self.left[0]
+
+    def record(self, result: LedgerTransfer) -> None:
+        """Take the result of the transfer to ``candidate``."""
+        target = self.left.pop(0)
+        if result in (LedgerTransfer.ADOPTED, LedgerTransfer.UNSURE):
+            self.successor = target
+            self.is_over = True
+        self.is_over = self.is_over or not self.left
--- /dev/null
+++ b/tests/fakes_hand_off.py
@@ -0,0 +1,127 @@
+"""A host, an answer writer and a server for the tests of the hand-off."""
+
+from contextlib import asynccontextmanager
+
+from grpclib.server import Server
+from trio import current_time
+from trio_asyncio import aio_as_trio, open_loop
+
+from balsamtide.protocol.messages import Endpoint
+from balsamtide.protocol.rpc import RpcCodec
+from balsamtide.protocol.verdict import Verdict
+from balsamtide.requests.hand_off_client import RPC_CONFIGURATION, HandOffClient
+from balsamtide.requests.hand_off_host import HandOffHost
+from balsamtide.requests.hand_off_server import HandOffService
+from balsamtide.requests.home import Home
+from balsamtide.requests.ledger import Ledger
+from balsamtide.requests.model import Outcome
+from balsamtide.requests.runner import AnswerWriter
+
+__all__ = ["FakeHost", "KeptAnswer", "chunks", "serving"]
+
+NUMBER = 3
+
+
+class KeptAnswer(AnswerWriter):
+    """Keeps the answer."""
+
+    def __init__(self):
+        self.status = 0
+        self.headers = ()
+        self.body = b""
+
+    async def start(self, status, headers):
+        """Keep the head."""
+        self.status, self.headers = status, headers
+
+    async def write(self, chunk):
+        """Keep a part."""
+        self.body += chunk
+
+
+class FakeHost(HandOffHost):
+    """Grants as told and answers with the body it got, or as ``behave`` does."""
+
+    def __init__(self, behave=None):
+        self.grants = True
+        self.behave = behave
+        self.home = Home(1, Ledger(target=NUMBER, tenure=77))
+        self.reserved = {}
+        self.withdrawn = []
+        self.runs = []
+        self.cancelled = []
+
+    def offer(self, facts, grant_deadline):
+        """Grant if told so."""
+        if self.grants:
+            self.reserved[facts.request_id] = grant_deadline
+        return self.grants
+
+    def use_grant(self, request_id):
+        """Use a reservation in time."""
+        return current_time() < self.reserved.pop(request_id, 0.0)
+
+    def withdraw(self, request_id):
+        """Keep what was withdrawn."""
+        self.reserved.pop(request_id, None)
+        self.withdrawn.append(request_id)
+
+    async def run_granted(self, facts, head, body, answer):
+        """Run as told; keep what was run and what was cancelled."""
+        self.runs.append((facts, head))
+        is_done = False
+        try:
+            if self.behave is not None:
+                outcome = await self.behave(facts, body, answer)
+                is_done = True
+                return outcome
+            octets = b"".join([chunk async for chunk in body])
+            await answer.start(200, ((b"x", b"y"),))
+            await answer.write(octets)
+            is_done = True
+        finally:
+            if not is_done:
+                self.cancelled.append(facts.request_id)
+        return Outcome(verdict=Verdict.RAN, status=200, service_time_s=0.5)
+
+    def decide_asked(self, facts, stamp):
+        """Ask the home."""
+        return self.home.decide_asked(facts, stamp, current_time())
+
+    async def run_repeat(self, facts, decision, head, body, answer):
+        """Run at once and record the end."""
+        assert decision.keyed.start()
+        outcome = await self.run_granted(facts, head, body, answer)
+        decision.keyed.finish(outcome.verdict, None, current_time())
+        return outcome
+
+    def adopt(self, image):
+        """Let the home adopt it."""
+        return self.home.adopt(image, current_time())
+
+
+async def chunks(*parts):
+    """Yield parts."""
+    for part in parts:
+        yield part
+
+
+@asynccontextmanager
+async def serving(host, **options):
+    """Run a server for ``host`` and give a client that knows it as target 3."""
+    async with open_loop():
+        server = Server(
+            [HandOffService(host)], codec=RpcCodec(), config=RPC_CONFIGURATION
+        )
+        await aio_as_trio(server.start)("127.0.0.1", 0)
+        port = server._server.sockets[0].getsockname()[1]
+        endpoints = {NUMBER: Endpoint("127.0.0.1", port)}
+        client = HandOffClient(endpoints.get, **options)
+        client.server = server
+        client.endpoints = endpoints
+        try:
+            yield client
+        finally:
+            client.close()
+            server.close()
+            await aio_as_trio(server.wait_closed)()
--- /dev/null
+++ b/tests/test_requests_hand_off.py
@@ -0,0 +1,356 @@
+"""The hand-off over grpclib, in virtual time."""
+
+from dataclasses import replace
+
+import trio
+from pytest import mark
+from trio.testing import MockClock
+from trio_asyncio import aio_as_trio
+
+from balsamtide.protocol.messages import Endpoint
+from balsamtide.protocol.verdict import Verdict
+from balsamtide.requests.exits import Exit
+from balsamtide.requests.hand_off import GRANT_S, Giver, Taker
+from balsamtide.requests.hand_off_client import _open
+from balsamtide.requests.home import AskHome, Home, KeyedRun
+from balsamtide.requests.ledger import (
+    Entry,
+    EntryState,
+    Identity,
+    Ledger,
+    RecordedAnswer,
+)
+from balsamtide.requests.messages import Offer
+from balsamtide.requests.model import Outcome
+from balsamtide.requests.runner import RequestHead
+from balsamtide.requests.stamp import Stamp
+from balsamtide.requests.succession import LedgerTransfer
+from tests.fakes_hand_off import NUMBER, FakeHost, KeptAnswer, chunks, serving
+from tests.fakes_requests import make_request
+
+HEAD = RequestHead("POST", "/marks", ((b"a", b"b"),))
+FACTS = make_request("r", deadline=100.0)
+
+
+def run(scenario, host):
+    """Run a scenario against a host in virtual time."""
+
+    async def main():
+        async with serving(host) as client:
+            return await scenario(client)
+
+    return trio.run(main, clock=MockClock(autojump_threshold=0.005))
+
+
+def hand_off(host, body=(b"ab", b"cd"), facts=FACTS, keyed=None, targets=(NUMBER,)):
+    """Hand one request off and return outcome, answer and runner."""
+
+    async def scenario(client):
+        answer = KeptAnswer()
+        runner = client.runner(targets, keyed)
+        outcome = await runner.run(facts, HEAD, chunks(*body), answer)
+        return outcome, answer, runner
+
+    return run(scenario, host)
+
+
+def claim():
+    """Return a claim in a fresh ledger."""
+    ledger = Ledger(target=1, tenure=5)
+    ledger.claim(Identity(1, "k"), 0.0)
+    return KeyedRun(ledger, Identity(1, "k"), ledger.claims)
+
+
+def state(keyed):
+    """Return the state of a claim."""
+    entry = keyed.ledger.get(keyed.identity)
+    return entry and entry.state
+
+
+def test_request_and_answer_pass_through():
+    """A granted request runs at the peer and its answer comes back whole."""
+    host = FakeHost()
+    outcome, answer, runner = hand_off(host)
+    assert outcome == Outcome(verdict=Verdict.RAN, status=200, service_time_s=0.5)
+    assert (answer.status, answer.headers) == (200, ((b"x", b"y"),))
+    assert answer.body == b"abcd"
+    assert runner.target == NUMBER
+    ((facts, head),) = host.runs
+    assert head == HEAD
+    assert facts.caller == FACTS.caller
+
+
+def test_remaining_time_becomes_a_local_deadline():
+    """The peer gets the time that remains, never a clock reading."""
+    host = FakeHost()
+    hand_off(host, facts=replace(FACTS, deadline=7.0))
+    assert 0 < host.runs[0][0].deadline <= 7.0
+
+
+def test_large_answers_are_streamed():
+    """An answer beyond every window arrives whole."""
+
+    async def behave(facts, body, answer):
+        await answer.start(200, ())
+        for _ in range(100):
+            await answer.write(b"x" * 100_000)
+        return Outcome(verdict=Verdict.RAN, status=200)
+
+    outcome, answer, _ = hand_off(FakeHost(behave))
+    assert outcome.verdict is Verdict.RAN
+    assert len(answer.body) == 10_000_000
+
+
+def test_denied_request_stays():
+    """Without a grant nothing runs and the claim is not started."""
+    host = FakeHost()
+    host.grants = False
+    keyed = claim()
+    outcome, answer, runner = hand_off(host, keyed=keyed)
+    assert outcome.verdict is Verdict.NOT_RUN
+    assert outcome.reason == Exit.NO_GRANT.reason
+    assert runner.error.verdict is Verdict.NOT_RUN
+    assert not host.runs and not answer.status
+    assert state(keyed) is EntryState.CLAIMED
+
+
+def test_next_peer_is_asked():
+    """A peer without an agent is passed over."""
+    outcome, _, runner = hand_off(FakeHost(), targets=(9, NUMBER))
+    assert outcome.verdict is Verdict.RAN
+    assert len(runner.attempts) == 1
+
+
+def test_unreachable_peer_grants_nothing():
+    """A peer whose port is closed leaves the request not run."""
+
+    async def scenario(client):
+        client.endpoints[8] = Endpoint("127.0.0.1", 1)
+        runner = client.runner((8,))
+        return await runner.run(FACTS, HEAD, chunks(), KeptAnswer())
+
+    assert run(scenario, FakeHost()).verdict is Verdict.NOT_RUN
+
+
+def test_start_is_recorded_before_the_run():
+    """The home's ledger holds the start when the peer begins."""
+    keyed = claim()
+    seen = []
+
+    async def behave(facts, body, answer):
+        seen.append(state(keyed))
+        return Outcome(verdict=Verdict.RAN, status=200)
+
+    hand_off(FakeHost(behave), keyed=keyed)
+    assert seen == [EntryState.STARTED]
+
+
+def test_closed_ledger_starts_nothing():
+    """A grant that comes after the tenure was closed is not used."""
+    keyed = claim()
+    keyed.ledger.close()
+    host = FakeHost()
+    outcome, _, _ = hand_off(host, keyed=keyed)
+    assert outcome.verdict is Verdict.NOT_RUN
+    assert not host.runs
+    assert host.withdrawn == ["r"]
+
+
+def test_not_run_at_the_peer_frees_the_start():
+    """A run that the peer's target refused can be tried elsewhere."""
+
+    async def behave(facts, body, answer):
+        return Exit.CONNECT_REFUSED.outcome()
+
+    keyed = claim()
+    outcome, _, _ = hand_off(FakeHost(behave), keyed=keyed)
+    assert outcome.verdict is Verdict.NOT_RUN
+    assert state(keyed) is EntryState.CLAIMED
+
+
+def test_slow_answers_are_waited_for():
+    """Signs of life keep a hand-off open as long as the deadline allows."""
+
+    async def behave(facts, body, answer):
+        await trio.sleep(60)
+        await answer.start(200, ())
+        return Outcome(verdict=Verdict.RAN, status=200)
+
+    outcome, answer, _ = hand_off(FakeHost(behave))
+    assert outcome.verdict is Verdict.RAN
+    assert answer.status == 200
+
+
+@mark.parametrize(
+    ("has_answered", "verdict"),
+    [(False, Verdict.MAY_HAVE_RUN), (True, Verdict.RAN)],
+)
+def test_peer_that_goes_silent(has_answered, verdict, monkeypatch):
+    """Silence after the run message is found and gets a true verdict."""
+
+    async def silent(self):
+        await trio.sleep_forever()
+
+    monkeypatch.setattr("balsamtide.requests.hand_off_server.StreamAnswer.beat", silent)
+
+    async def behave(facts, body, answer):
+        if has_answered:
+            await answer.start(200, ())
+        await trio.sleep_forever()
+
+    host = FakeHost(behave)
+    outcome, _, _ = hand_off(host)
+    assert outcome.verdict is verdict
+    assert not outcome.is_complete
+    assert host.cancelled == ["r"]
+
+
+@mark.parametrize(
+    ("has_answered", "exit_"),
+    [(False, Exit.PEER_LOST_AFTER_RUN), (True, Exit.PEER_LOST_IN_ANSWER)],
+)
+def test_peer_that_dies(has_answered, exit_):
+    """A connection that breaks after the run message gets a true verdict."""
+
+    async def scenario(client):
+        async def behave(facts, body, answer):
+            if has_answered:
+                await answer.start(200, ())
+                await trio.sleep(0.1)
+            client.channels[NUMBER][1]._protocol.connection._transport.abort()
+            await trio.sleep_forever()
+
+        host.behave = behave
+        runner = client.runner((NUMBER,))
+        return await runner.run(FACTS, HEAD, chunks(), KeptAnswer())
+
+    host = FakeHost()
+    outcome = run(scenario, host)
+    assert (outcome.verdict, outcome.reason) == (exit_.verdict, exit_.reason)
+
+
+def test_cancellation_reaches_the_peer():
+    """A caller that gives up ends the run at the peer."""
+
+    async def behave(facts, body, answer):
+        await trio.sleep_forever()
+
+    async def scenario(client):
+        with trio.move_on_after(2):
+            runner = client.runner((NUMBER,))
+            await runner.run(FACTS, HEAD, chunks(), KeptAnswer())
+        await trio.sleep(0.1)
+        return list(host.cancelled)
+
+    host = FakeHost(behave)
+    assert run(scenario, host) == ["r"]
+
+
+def test_unused_grant_is_withdrawn():
+    """A reservation is freed when the taker doesn't use it."""
+
+    async def scenario(client):
+        async with _open(client.exchange(NUMBER)) as stream:
+            offer = Taker(FACTS, trio.current_time()).offer(trio.current_time())
+            await aio_as_trio(stream.send_message)(offer)
+            await aio_as_trio(stream.recv_message)()
+            await trio.sleep(GRANT_S * 2)
+            reply = await aio_as_trio(stream.recv_message)()
+            await aio_as_trio(stream.end)()
+            return reply
+
+    host = FakeHost()
+    reply = run(scenario, host)
+    assert reply.reason == Exit.GRANT_EXPIRED.reason
+    assert host.withdrawn == ["r"] and not host.runs
+
+
+def test_grant_is_void_on_both_sides():
+    """Neither side uses a grant after its deadline, or twice."""
+    taker = Taker(FACTS, 0.0)
+    giver = Giver(taker.offer(0.0), 10.0)
+    taker.granted()
+    assert giver.grant_deadline - 10.0 <= taker.grant_deadline + 1e-9
+    assert not taker.use(GRANT_S) and not giver.use(10.0 + GRANT_S)
+    assert taker.use(0.01) and not taker.use(0.01)
+    assert giver.use(10.01) and not giver.use(10.01)
+    late = Offer(taker.offer(0.0).card, 0)
+    assert not Giver(late, 0.0).use(0.0)
+
+
+REPEAT = replace(FACTS, key="k", attempt=2)
+
+
+def ask_home(host, repeat=REPEAT, tenure=77):
+    """Pass a repeat to its home."""
+
+    async def scenario(client):
+        answer = KeptAnswer()
+        ask = AskHome((9, NUMBER), Stamp(1, NUMBER, tenure, 4))
+        runner = client.home_runner(ask)
+        outcome = await runner.run(repeat, HEAD, chunks(b"body"), answer)
+        return outcome, answer
+
+    return run(scenario, host)
+
+
+def test_repeat_runs_at_home_once():
+    """A repeat that never ran runs at its home, and the next one doesn't."""
+    host = FakeHost()
+    outcome, answer = ask_home(host)
+    assert outcome.verdict is Verdict.RAN and answer.body == b"body"
+    outcome, answer = ask_home(host)
+    assert len(host.runs) == 1
+    assert outcome.reason == Exit.ANSWER_NOT_KEPT.reason
+
+
+def test_repeat_is_replayed_from_home():
+    """A repeat that ran gets the recorded answer through the peer."""
+    host = FakeHost()
+    host.home.ledger.entries[Identity(4, "k")] = Entry(
+        state=EntryState.DONE,
+        verdict=Verdict.RAN,
+        answer=RecordedAnswer(201, ((b"x", b"z"),), b"kept"),
+    )
+    outcome, answer = ask_home(host)
+    assert (outcome.verdict, outcome.reason) == (Verdict.RAN, "replayed")
+    assert (answer.status, answer.body) == (201, b"kept")
+    assert not host.runs
+
+
+def test_lost_tenure_may_have_run():
+    """A repeat of a tenure that nobody holds is not run again."""
+    host = FakeHost()
+    outcome, _ = ask_home(host, tenure=12)
+    assert outcome.verdict is Verdict.MAY_HAVE_RUN
+    assert not host.runs
+
+
+@mark.parametrize("entries", [0, 600])
+def test_ledger_moves_to_the_successor(entries):
+    """A closed ledger arrives whole, is adopted once and then answers."""
+    old = Home(1, Ledger(target=1, tenure=5))
+    for sequence in range(entries):
+        old.ledger.claim(Identity(sequence, "k"), 0.0)
+        old.ledger.start(Identity(sequence, "k"), old.ledger.claims)
+    old.close()
+
+    async def scenario(client):
+        image = old.ledger.image(0.0)
+        return [await client.send_ledger(NUMBER, image) for _ in range(2)]
+
+    host = FakeHost()
+    assert run(scenario, host) == [LedgerTransfer.ADOPTED, LedgerTransfer.REFUSED]
+    assert len(host.home.adopted[5].entries) == entries
+
+
+def test_unreachable_successor_got_nothing():
+    """A ledger for a closed port was not sent, so another candidate is allowed."""
+
+    async def scenario(client):
+        client.endpoints[8] = Endpoint("127.0.0.1", 1)
+        ledger = Ledger(target=1, tenure=5)
+        ledger.close()
+        return await client.send_ledger(8, ledger.image(0.0))
+
+    assert run(scenario, FakeHost()) is LedgerTransfer.NOT_SENT
--- a/tests/test_requests_home.py
+++ b/tests/test_requests_home.py
@@ -89,7 +89,7 @@
         (KEYED, Stamp(2, 3, 77, 5), Refuse(Exit.STAMP_FOREIGN.refusal())),
         (REPEAT, Stamp(2, 3, 77, 5), Refuse(Exit.STAMP_OTHER_SERVICE.refusal())),
         (REPEAT, Stamp(1, 3, 78, 5), Refuse(Exit.TENURE_GONE.refusal())),
-        (REPEAT, Stamp(1, 4, 99, 5), AskHome(4, Stamp(1, 4, 99, 5))),
+        (REPEAT, Stamp(1, 4, 99, 5), AskHome((4,), Stamp(1, 4, 99, 5))),
     ],
 )
 def test_requests_without_a_record_here(request_, stamp, expected):
@@ -219,7 +219,7 @@
     """A repeat follows the announced closure of its tenure."""
     home = make_home(tenure=88, target=4)
     home.closed(TenureClosed("i", 1, 1, 3, 77, 9))
-    assert home.decide(REPEAT, OWN, 0.0) == AskHome(9, OWN)
+    assert home.decide(REPEAT, OWN, 0.0) == AskHome((9,), OWN)
     home.closed(TenureClosed("i", 1, 1, 3, 77, 4))
     assert home.decide(REPEAT, OWN, 0.0) == Refuse(Exit.TENURE_GONE.refusal())
 
