--- /dev/null
+++ b/src/balsamtide/membership/directory.py
@@ -0,0 +1,112 @@
+"""Who serves what: the platform's list joined with the configuration in force."""
+
+from collections.abc import Sequence
+
+from balsamtide.config.model import Service, Target
+from balsamtide.config.port import Instance
+from balsamtide.membership.log import EntryLog
+from balsamtide.protocol.messages import Endpoint
+
+__all__ = ["Directory"]
+
+AGENT = "agent"
+
+
+def agent_endpoint(target: Target) -> Endpoint:
+    """Return the inner endpoint of the agent beside ``target``."""
+    return Endpoint(target.agent_host, target.agent_port)
+
+
+class Directory:
+    """Finds the service of an agent and the group that watches one another.
+
+    Parameters
+    ----------
+    own : Instance
+        The own instance.
+    log : EntryLog
+        Holder of the configuration in force.
+    """
+
+    def __init__(self, own: Instance, log: EntryLog) -> None:
+        self.own = own
+        self.log = log
+        self.names: dict[Endpoint, str] = {own.inner: own.name}
+        self.endpoints: dict[str, Endpoint] = {own.name: own.inner}
+        self.zones: frozenset[str] = frozenset({own.zone})
+        self.zone_balancers: tuple[Instance, ...] = ()
+        self.services: dict[str, str] = {}
+
+    def update(self, instances: Sequence[Instance]) -> None:
+        """Take a new list; of agents only names and endpoints are kept."""
+        agents = [each for each in instances if each.role == AGENT]
+        self.names = {each.inner: each.name for each in agents}
+        self.endpoints = {each.name: each.inner for each in agents}
+        self.zones = frozenset(each.zone for each in instances) | {self.own.zone}
+        self.zone_balancers = tuple(
+            each
+            for each in instances
+            if each.role != AGENT and each.zone == self.own.zone
+        )
+
+    def instance_at(self, endpoint: Endpoint) -> str | None:
+        """Return the name of the agent with this inner endpoint, if listed."""
+        return self.names.get(endpoint)
+
+    def service_of(self, name: str) -> str | None:
+        """Return the service of an agent, by its instance or target name."""
+        services = self.log.held.configuration.services
+        endpoint = self.endpoints.get(name)
+        known = self.services.get(name)
+        if known in services and _serves(services[known], name, endpoint):
+            return known
+        for service_name, service in services.items():
+            if _serves(service, name, endpoint):
+                self.services[name] = service_name
+                return service_name
+        self.services.pop(name, None)
+        return None
+
+    def members(self, service: str) -> list[tuple[str, str]]:
+        """Return instance name and zone of each target of ``service``."""
+        targets = self.log.held.configuration.services[service].targets
+        return [
+            (self.names.get(agent_endpoint(target), name), target.zone)
+            for name, target in targets.items()
+        ]
+
+    def group(self) -> list[Instance]:
+        """Return those that the own instance watches and is watched by."""
+        if self.own.role != AGENT:
+            return [each for each in self.zone_balancers if each.name != self.own.name]
+        service = self.service_of(self.own.name)
+        if service is None:
+            return []
+        targets = self.log.held.configuration.services[service].targets.values()
+        return [
+            self._agent(name, target)
+            for target in targets
+            if (name := self.names.get(agent_endpoint(target))) is not None
+            and name != self.own.name
+        ]
+
+    def _agent(self, name: str, target: Target) -> Instance:
+        return Instance(
+            name=name,
+            role=AGENT,
+            region=self.own.region,
+            zone=target.zone,
+            inner=agent_endpoint(target),
+            rpc=Endpoint(target.agent_host, target.agent_rpc_port),
+        )
+
+
+def _serves(service: Service, name: str, endpoint: Endpoint | None) -> bool:
+    if name in service.targets:
+        return True
+    if endpoint is None:
+        return False
+    return any(
+        target.agent_port == endpoint.port and target.agent_host == endpoint.host
+        for target in service.targets.values()
+    )
--- /dev/null
+++ b/src/balsamtide/membership/eligibility.py
@@ -0,0 +1,85 @@
+"""Whether a subject may be given new work, by the marks believed."""
+
+from balsamtide.membership.directory import Directory
+from balsamtide.membership.events import MARKS_IGNORED
+from balsamtide.membership.journal import Journal
+from balsamtide.membership.limits import MembershipLimits
+from balsamtide.membership.marks import LEAVING, ZONE_PREFIX, MarkTable
+
+__all__ = ["Eligibility"]
+
+
+class Eligibility:
+    """Applies marks, except where they would take too much away.
+
+    Suspects are ignored when more than a share of their service is marked, zone
+    marks when more than a share of the zones is.  Leaving marks are ignored only
+    when the whole service is leaving.
+
+    Parameters
+    ----------
+    table : MarkTable
+        Claims held.
+    directory : Directory
+        Services and zones.
+    limits : MembershipLimits
+        The share.
+    journal : Journal
+        Where it is reported that marks are ignored.
+    """
+
+    def __init__(
+        self,
+        table: MarkTable,
+        *,
+        directory: Directory,
+        limits: MembershipLimits,
+        journal: Journal,
+    ) -> None:
+        self.table = table
+        self.directory = directory
+        self.limits = limits
+        self.journal = journal
+        self.ignored: set[str] = set()
+
+    def is_eligible(self, instance: str, zone: str, now: float) -> bool:
+        """Tell whether ``instance`` in ``zone`` may be given new work."""
+        belief = self._belief(instance, zone, now)
+        if belief is None:
+            return True
+        service = self.directory.service_of(instance)
+        if service is None:
+            return False
+        beliefs = [
+            self._belief(name, member_zone, now)
+            for name, member_zone in self.directory.members(service)
+        ]
+        if belief == LEAVING:
+            return all(each == LEAVING for each in beliefs)
+        marked = sum(1 for each in beliefs if each is not None)
+        is_ignored = marked > len(beliefs) * self.limits.ignored_share
+        self._note(service, is_ignored)
+        return is_ignored
+
+    def _belief(self, instance: str, zone: str, now: float) -> str | None:
+        belief = self.table.belief(instance, now)
+        if belief is not None:
+            return belief
+        zone_belief = self.table.belief(ZONE_PREFIX + zone, now)
+        if zone_belief is None or self._are_zones_ignored(now):
+            return None
+        return zone_belief
+
+    def _are_zones_ignored(self, now: float) -> bool:
+        zones = self.directory.zones
+        marked = sum(1 for zone in zones if self.table.belief(ZONE_PREFIX + zone, now))
+        is_ignored = marked > len(zones) * self.limits.ignored_share
+        self._note("zones", is_ignored)
+        return is_ignored
+
+    def _note(self, scope: str, is_ignored: bool) -> None:
+        if is_ignored and scope not in self.ignored:
+            self.journal.event(MARKS_IGNORED, scope=scope)
+            self.ignored.add(scope)
+        if not is_ignored:
+            self.ignored.discard(scope)
--- /dev/null
+++ b/src/balsamtide/membership/epidemic.py
@@ -0,0 +1,263 @@
+"""Spread of entries and marks among peers.
+
+News is pushed once to a few peers.  Members compare digests periodically; whoever is
+behind pulls.  What does not fit a datagram is left to the bulk transfer over RPC.
+"""
+
+from collections.abc import Callable, Sequence
+
+from msgspec.msgpack import encode
+
+from balsamtide.config.port import Instance
+from balsamtide.membership.events import CHAIN_MISMATCH
+from balsamtide.membership.identity import Identity
+from balsamtide.membership.journal import Journal
+from balsamtide.membership.limits import MembershipLimits
+from balsamtide.membership.log import EntryLog
+from balsamtide.membership.marks import MarkTable, split_marks
+from balsamtide.membership.spreading import Spreading
+from balsamtide.protocol.actions import Send
+from balsamtide.protocol.messages import ChainDigest, Endpoint, Entry, Mark, Pull, Push
+
+__all__ = ["Epidemic"]
+
+# Room for the sender, the incarnation and the array headers of a push.
+PUSH_OVERHEAD_BYTES = 100
+# Datagrams of marks that one difference of digests may cause.
+MARK_DATAGRAMS = 2
+
+
+class Epidemic:
+    """Entries, digests and marks of one member.
+
+    Parameters
+    ----------
+    identity : Identity
+        The own name and incarnation.
+    log : EntryLog
+        Holder of the entries.
+    table : MarkTable
+        Claims held.
+    spreading : Spreading
+        Chooses the recipients.
+    limits : MembershipLimits
+        Bounds and periods.
+    journal : Journal
+        Where conflicts are reported.
+    is_usable : callable
+        Tells whether a peer is believed to be alive.
+    now : float
+        Current time, seconds.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        *,
+        log: EntryLog,
+        table: MarkTable,
+        spreading: Spreading,
+        limits: MembershipLimits,
+        journal: Journal,
+        is_usable: Callable[[Instance], bool],
+        now: float,
+    ) -> None:
+        self.identity = identity
+        self.log = log
+        self.table = table
+        self.spreading = spreading
+        self.limits = limits
+        self.journal = journal
+        self.is_usable = is_usable
+        self.spread_number = log.held.number
+        self.newest_heard = log.held.number
+        self.pull_deadline = now
+        self.pull_source: Endpoint | None = None
+        self.marks_deadline = now
+        self.bulk_source: Endpoint | None = None
+        period_s = spreading.exchange_period_s
+        first_s = spreading.peers.random.random() * period_s
+        self.next_exchange = now + (first_s if period_s < float("inf") else period_s)
+
+    @property
+    def content_bytes(self) -> int:
+        """Octets of entries or marks that fit one push."""
+        return self.limits.datagram_bytes - PUSH_OVERHEAD_BYTES
+
+    def entries_arrived(self, now: float) -> list[Send]:
+        """Push what the log gained since it was last spread."""
+        return self._spread(self.spread_number, (), is_origin=True)
+
+    def publish(self, marks: Sequence[Mark], now: float) -> list[Send]:
+        """Spread claims that start here, after they were merged."""
+        return self._spread(self.log.held.number, marks, is_origin=True)
+
+    def receive_entries(
+        self, push: Push, fresh: Sequence[Mark], *, source: Endpoint, now: float
+    ) -> list[Send]:
+        """Take the entries of a push and pass on its news.
+
+        Parameters
+        ----------
+        push : Push
+            The message.
+        fresh : sequence of Mark
+            Those of its marks that were news, with their time left.
+        source : Endpoint
+            Where it came from.
+        now : float
+            Current time, seconds.
+        """
+        before = self.log.held.number
+        sends: list[Send] = []
+        if push.entries and push.entries[-1].number > before:
+            sends += self._offer(push, source, now)
+        after = self.log.held.number
+        if after > before:
+            self.bulk_source = None
+        is_catching_up = after < self.newest_heard
+        start = after if is_catching_up else before
+        sends += self._spread(start, fresh, is_origin=False)
+        return sends
+
+    def _offer(self, push: Push, source: Endpoint, now: float) -> list[Send]:
+        before = self.log.held.number
+        self.newest_heard = max(self.newest_heard, push.entries[-1].number)
+        self.log.offer_entries(push.entries, source=f"peer:{push.sender}", now=now)
+        after = self.log.held.number
+        if after >= self.newest_heard:
+            return []
+        if after > before:
+            self.pull_deadline = now
+        return self._pull(source, now)
+
+    def receive_digest(
+        self, digest: ChainDigest, *, source: Endpoint, now: float
+    ) -> list[Send]:
+        """Compare a digest with the own state and repair the difference."""
+        held = self.log.held
+        sends: list[Send] = []
+        if digest.number > held.number:
+            sends += self._fall_behind(digest, source, now)
+        elif digest.number < held.number:
+            sends += self._answer_entries(digest.number, source)
+        elif digest.chain != held.chain:
+            self.journal.event(CHAIN_MISMATCH, peer=digest.sender, number=digest.number)
+        if digest.marks != self.table.digest():
+            sends += self._reconcile_marks(digest, source, now)
+        return sends
+
+    def _fall_behind(
+        self, digest: ChainDigest, source: Endpoint, now: float
+    ) -> list[Send]:
+        self.newest_heard = max(self.newest_heard, digest.number)
+        is_answer = source == self.pull_source and not digest.wants_answer
+        if is_answer and now < self.pull_deadline:
+            self.bulk_source = source
+            return []
+        return self._pull(source, now)
+
+    def _pull(self, source: Endpoint, now: float) -> list[Send]:
+        if now < self.pull_deadline:
+            return []
+        self.pull_deadline = now + self.limits.pull_timeout_s
+        self.pull_source = source
+        return [self._pull_message(source, wants_marks=False)]
+
+    def _pull_message(self, source: Endpoint, *, wants_marks: bool) -> Send:
+        number = self.log.held.number
+        name, incarnation = self.identity.name, self.identity.incarnation
+        return Send(source, Pull(name, incarnation, number, wants_marks))
+
+    def _reconcile_marks(
+        self, digest: ChainDigest, source: Endpoint, now: float
+    ) -> list[Send]:
+        if now < self.marks_deadline:
+            return []
+        self.marks_deadline = now + self.limits.exchange_period_s / 2
+        sends = self._mark_pushes(source, now)
+        if digest.wants_answer:
+            sends.append(self._pull_message(source, wants_marks=True))
+        return sends
+
+    def receive_pull(self, pull: Pull, *, source: Endpoint, now: float) -> list[Send]:
+        """Answer a pull with entries, marks, or the digest if neither fits."""
+        sends: list[Send] = []
+        if pull.after < self.log.held.number:
+            sends += self._answer_entries(pull.after, source)
+        if pull.wants_marks:
+            sends += self._mark_pushes(source, now)
+        return sends
+
+    def _answer_entries(self, after: int, source: Endpoint) -> list[Send]:
+        entries = self._fitting_entries(after)
+        if not entries:
+            return [Send(source, self.digest(wants_answer=False))]
+        sends = [Send(source, self._push(entries, ()))]
+        if entries[-1].number < self.log.held.number:
+            sends.append(Send(source, self.digest(wants_answer=False)))
+        return sends
+
+    def _mark_pushes(self, destination: Endpoint, now: float) -> list[Send]:
+        groups = split_marks(self.table.to_marks(now), self.content_bytes)
+        if len(groups) > MARK_DATAGRAMS:
+            groups = self.spreading.peers.random.sample(groups, MARK_DATAGRAMS)
+        return [Send(destination, self._push((), marks)) for marks in groups]
+
+    def _fitting_entries(self, after: int) -> tuple[Entry, ...]:
+        entries = self.log.entries_after(after, max_bytes=self.content_bytes)
+        while entries and len(encode(entries)) > self.content_bytes:
+            entries = entries[:-1]
+        if entries and entries[0].number != after + 1:
+            return ()
+        return entries
+
+    def _push(self, entries: tuple[Entry, ...], marks: tuple[Mark, ...]) -> Push:
+        name, incarnation = self.identity.name, self.identity.incarnation
+        return Push(name, incarnation, entries, marks)
+
+    def digest(self, *, wants_answer: bool) -> ChainDigest:
+        """Return the own digest."""
+        held = self.log.held
+        return ChainDigest(
+            sender=self.identity.name,
+            incarnation=self.identity.incarnation,
+            number=held.number,
+            chain=held.chain,
+            marks=self.table.digest(),
+            wants_answer=wants_answer,
+        )
+
+    def _spread(
+        self, after: int, marks: Sequence[Mark], *, is_origin: bool
+    ) -> list[Send]:
+        messages = self._news(after, marks)
+        self.spread_number = self.log.held.number
+        if not messages:
+            return []
+        recipients = self.spreading.recipients(self.is_usable, is_origin=is_origin)
+        return [Send(each, message) for each in recipients for message in messages]
+
+    def _news(self, after: int, marks: Sequence[Mark]) -> list[Push | ChainDigest]:
+        messages: list[Push | ChainDigest] = []
+        number = self.log.held.number
+        if after < number:
+            entries = self._fitting_entries(after)
+            if entries:
+                messages.append(self._push(entries, ()))
+            if not entries or entries[-1].number < number:
+                messages.append(self.digest(wants_answer=False))
+        groups = split_marks(marks, self.content_bytes)
+        messages += [self._push((), group) for group in groups]
+        return messages
+
+    def tick(self, now: float) -> list[Send]:
+        """Start a digest exchange when one is due."""
+        if now < self.next_exchange:
+            return []
+        jitter = 0.9 + 0.2 * self.spreading.peers.random.random()
+        self.next_exchange = now + self.spreading.exchange_period_s * jitter
+        partner = self.spreading.exchange_partner(self.is_usable)
+        if partner is None:
+            return []
+        return [Send(partner, self.digest(wants_answer=True))]
--- /dev/null
+++ b/src/balsamtide/membership/journal.py
@@ -0,0 +1,77 @@
+"""Reports of membership to the sink, with the audit trail of marks and readers."""
+
+from typing import Any
+
+from balsamtide.membership.events import (
+    MARK_BELIEVED,
+    MARK_EXPIRED,
+    MARK_MADE,
+)
+from balsamtide.membership.log import EntryLog
+from balsamtide.membership.metrics import MARKS_BELIEVED, MARKS_MADE
+from balsamtide.protocol.messages import Mark
+from balsamtide.telemetry.event import Event
+from balsamtide.telemetry.sink import AuditRecord, Sink
+
+__all__ = ["Journal"]
+
+
+class Journal:
+    """Writes events, metrics and audit records with the version in force.
+
+    Parameters
+    ----------
+    sink : Sink
+        Where all of it goes.
+    log : EntryLog
+        Holder of the version in force.
+    own_name : str
+        Own instance, the actor of own claims.
+    """
+
+    def __init__(self, sink: Sink, log: EntryLog, own_name: str) -> None:
+        self.sink = sink
+        self.log = log
+        self.own_name = own_name
+        self.beliefs: dict[str, str] = {}
+
+    def event(self, event: Event, **fields: Any) -> None:
+        """Log an event."""
+        self.sink.event(event, **fields)
+
+    def audit(
+        self, kind: str, subject: str, change: str, *, cause: str = "", actor: str = ""
+    ) -> None:
+        """Add a record under the version in force."""
+        self.sink.audit(
+            AuditRecord(
+                kind=kind,
+                subject=subject,
+                change=change,
+                version=self.log.held.in_force,
+                cause=cause,
+                actor=actor,
+            )
+        )
+
+    def made(self, mark: Mark, cause: str) -> None:
+        """Record a claim of this process."""
+        self.event(MARK_MADE, subject=mark.subject, kind=mark.kind)
+        self.sink.count(MARKS_MADE, kind=mark.kind)
+        change = f"{mark.kind} claimed"
+        self.audit("mark", mark.subject, change, cause=cause, actor=mark.observer)
+
+    def update_beliefs(self, beliefs: dict[str, str]) -> None:
+        """Record what is newly believed and what is believed no longer."""
+        if beliefs == self.beliefs:
+            return
+        for subject, kind in beliefs.items():
+            if self.beliefs.get(subject) != kind:
+                self.event(MARK_BELIEVED, subject=subject, kind=kind)
+                self.audit("mark", subject, f"{kind} believed", actor=self.own_name)
+        for subject, kind in self.beliefs.items():
+            if subject not in beliefs:
+                self.event(MARK_EXPIRED, subject=subject, kind=kind)
+                self.audit("mark", subject, f"{kind} ended", actor=self.own_name)
+        self.beliefs = beliefs
+        self.sink.gauge(MARKS_BELIEVED, len(beliefs))
--- /dev/null
+++ b/src/balsamtide/membership/liveness.py
@@ -0,0 +1,279 @@
+"""Mutual observation of the members of one group by heartbeats with leases."""
+
+from bisect import bisect
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+
+from xxhash import xxh3_64_intdigest
+
+from balsamtide.config.port import Instance
+from balsamtide.membership.events import CUT_OFF, PAUSED
+from balsamtide.membership.identity import Identity
+from balsamtide.membership.journal import Journal
+from balsamtide.membership.limits import MembershipLimits
+from balsamtide.membership.marks import MICROSECONDS, SUSPECT, ZONE_PREFIX, MarkTable
+from balsamtide.membership.metrics import HEARTBEATS, PARTNERS_SILENT
+from balsamtide.membership.peers import Peers
+from balsamtide.membership.silence import Silence, Watched, judge_silence
+from balsamtide.protocol.actions import Send
+from balsamtide.protocol.messages import Heartbeat, Mark
+
+__all__ = ["Observation", "Observer", "choose_partners"]
+
+# Instances of a silent zone, outside the group, that are asked as witnesses.
+ZONE_WITNESSES = 4
+# Share of its longest time after which an own claim is renewed.
+RENEWAL_SHARE = 0.5
+
+
+@dataclass(slots=True)
+class Partner:
+    """A watched member.
+
+    Parameters
+    ----------
+    instance : Instance
+        Its line of the list.
+    lease_deadline : float
+        Time at which it counts as silent.
+    next_heartbeat : float
+        Time of the next heartbeat to it.
+    incarnation : int
+        Incarnation last heard, 0 before.
+    """
+
+    instance: Instance
+    lease_deadline: float
+    next_heartbeat: float
+    incarnation: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Observation:
+    """What an observer wants done: messages to send and claims to make."""
+
+    sends: list[Send]
+    marks: list[Mark]
+
+
+def choose_partners(
+    own: Instance, group: Sequence[Instance], limits: MembershipLimits
+) -> list[Instance]:
+    """Return the successors of ``own`` on a hash ring, and some of each other zone."""
+    ring = sorted(group, key=lambda each: xxh3_64_intdigest(each.name.encode()))
+    hashes = [xxh3_64_intdigest(each.name.encode()) for each in ring]
+    start = bisect(hashes, xxh3_64_intdigest(own.name.encode()))
+    order = ring[start:] + ring[:start]
+    chosen = order[: limits.partners]
+    for zone in sorted({each.zone for each in order} - {own.zone}):
+        in_zone = [each for each in order if each.zone == zone]
+        wanted = in_zone[: limits.zone_partners]
+        chosen += [each for each in wanted if each not in chosen]
+    return chosen
+
+
+class Observer:
+    """Watches a few partners and claims that silent ones are suspect.
+
+    Parameters
+    ----------
+    identity : Identity
+        The own instance.
+    limits : MembershipLimits
+        Leases and periods.
+    table : MarkTable
+        Claims held, consulted before a new one is made.
+    peers : Peers
+        The partial view, source of witnesses.
+    journal : Journal
+        Where pauses and isolation are reported.
+    now : float
+        Current time, seconds.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        *,
+        limits: MembershipLimits,
+        table: MarkTable,
+        peers: Peers,
+        journal: Journal,
+        now: float,
+    ) -> None:
+        self.identity = identity
+        self.limits = limits
+        self.table = table
+        self.peers = peers
+        self.journal = journal
+        self.partners: dict[str, Partner] = {}
+        self.zones_heard: dict[str, float] = {}
+        self.claims: dict[str, float] = {}
+        self.nonce = 0
+        self.is_cut_off = False
+        self.next_question = now
+        self.deadline = now
+
+    def update(self, group: Sequence[Instance], now: float) -> None:
+        """Take the members of the own group."""
+        chosen = choose_partners(self.identity.instance, group, self.limits)
+        lease_deadline = now + self.limits.heartbeat_lease_s
+        partners: dict[str, Partner] = {}
+        for instance in chosen:
+            known = self.partners.get(instance.name)
+            if known is None:
+                known = Partner(instance, lease_deadline, now)
+            known.instance = instance
+            partners[instance.name] = known
+        self.partners = partners
+        self.deadline = min(self.deadline, now)
+
+    def hear(self, name: str, incarnation: int, now: float) -> None:
+        """Renew the lease of a sender; any message is a sign of life."""
+        zone = self.peers.zone_of(name)
+        if zone is not None:
+            self.zones_heard[zone] = now
+        partner = self.partners.get(name)
+        if partner is None:
+            return
+        self.zones_heard[partner.instance.zone] = now
+        partner.lease_deadline = now + self.limits.heartbeat_lease_s
+        partner.incarnation = incarnation
+        self.claims.pop(name, None)
+
+    def tick(self, now: float) -> Observation:
+        """Send heartbeats that are due and judge who is silent."""
+        if now > self.deadline + self.limits.lateness_s:
+            self._start_leases_anew(now)
+        sends = self._heartbeats(now)
+        silent = [each for each in self.partners.values() if each.lease_deadline <= now]
+        self.journal.sink.gauge(PARTNERS_SILENT, len(silent))
+        marks: list[Mark] = []
+        if silent:
+            witnesses = self._witnesses(silent, now)
+            sends += self._ask(witnesses, now)
+            marks = self._judge(witnesses, now)
+        else:
+            self.is_cut_off = False
+            self.claims = {}
+        period_s = self.limits.probe_period_s if silent else self._shortest_wait(now)
+        self.deadline = now + period_s
+        return Observation(sends, marks)
+
+    def _shortest_wait(self, now: float) -> float:
+        waits = [each.next_heartbeat - now for each in self.partners.values()]
+        longest_s = self.limits.heartbeat_period_s
+        return max(min(waits, default=longest_s), self.limits.probe_period_s / 4)
+
+    def _start_leases_anew(self, now: float) -> None:
+        """Distrust the silence that passed while this process did not run."""
+        self.journal.event(PAUSED, late_s=round(now - self.deadline, 3))
+        for partner in self.partners.values():
+            partner.lease_deadline = now + self.limits.heartbeat_lease_s
+            partner.next_heartbeat = now
+        self.claims = {}
+
+    def _heartbeats(self, now: float) -> list[Send]:
+        sends = []
+        for partner in self.partners.values():
+            if partner.next_heartbeat > now:
+                continue
+            sends.append(self._heartbeat(partner.instance))
+            partner.next_heartbeat = now + self._period_s(partner, now)
+        return sends
+
+    def _period_s(self, partner: Partner, now: float) -> float:
+        """Return a short period once a heartbeat went unanswered."""
+        heard_ago = self.limits.heartbeat_lease_s - (partner.lease_deadline - now)
+        is_waiting = heard_ago > self.limits.heartbeat_period_s * 1.5
+        is_silent = heard_ago > self.limits.heartbeat_lease_s * 2
+        if is_waiting and not is_silent:
+            return self.limits.probe_period_s
+        return self.limits.heartbeat_period_s
+
+    def _heartbeat(self, instance: Instance) -> Send:
+        self.nonce += 1
+        self.journal.sink.count(HEARTBEATS)
+        name, incarnation = self.identity.name, self.identity.incarnation
+        return Send(instance.inner, Heartbeat(name, incarnation, self.nonce))
+
+    def _witnesses(self, silent: Iterable[Partner], now: float) -> list[Instance]:
+        """Return others of the zones of which nobody is heard."""
+        zones = {each.instance.zone for each in silent if self._is_foreign(each)}
+        return [
+            witness
+            for zone in sorted(zones)
+            if self._is_zone_silent(zone, now)
+            for witness in self.peers.witnesses(zone, ZONE_WITNESSES, self.partners)
+        ]
+
+    def _is_foreign(self, partner: Partner) -> bool:
+        return partner.instance.zone != self.identity.instance.zone
+
+    def _ask(self, witnesses: list[Instance], now: float) -> list[Send]:
+        if now < self.next_question:
+            return []
+        self.next_question = now + self.limits.suspicion_delay_s / 3
+        return [self._heartbeat(witness) for witness in witnesses]
+
+    def _is_zone_silent(self, zone: str, now: float) -> bool:
+        heard = self.zones_heard.get(zone, float("-inf"))
+        return now - heard >= self.limits.heartbeat_lease_s
+
+    def _judge(self, witnesses: list[Instance], now: float) -> list[Mark]:
+        watched = [self._watched(each, now) for each in self.partners.values()]
+        heard = [
+            Watched(ZONE_PREFIX + zone, zone, is_silent=False)
+            for zone in sorted({each.zone for each in watched})
+            if not self._is_zone_silent(zone, now)
+        ]
+        asked = [Watched(each.name, each.zone, is_silent=True) for each in witnesses]
+        own_zone = self.identity.instance.zone
+        silence = judge_silence(own_zone, watched, [*heard, *asked])
+        if silence.is_cut_off:
+            self._note_cut_off(now)
+            return []
+        self.is_cut_off = False
+        return self._claim(silence, now)
+
+    def _watched(self, partner: Partner, now: float) -> Watched:
+        is_silent = partner.lease_deadline <= now
+        return Watched(partner.instance.name, partner.instance.zone, is_silent)
+
+    def _note_cut_off(self, now: float) -> None:
+        self.claims = {}
+        if self.is_cut_off:
+            return
+        self.is_cut_off = True
+        silent = sum(1 for each in self.partners.values() if each.lease_deadline <= now)
+        self.journal.event(CUT_OFF, silent=silent, partners=len(self.partners))
+
+    def _claim(self, silence: Silence, now: float) -> list[Mark]:
+        subjects = {ZONE_PREFIX + zone: 0 for zone in sorted(silence.zones)}
+        for name in sorted(silence.members):
+            partner = self.partners[name]
+            zone_mark = self.table.belief(ZONE_PREFIX + partner.instance.zone, now)
+            if zone_mark is None:
+                subjects[name] = partner.incarnation
+        self.claims = {
+            subject: due for subject, due in self.claims.items() if subject in subjects
+        }
+        return [
+            mark
+            for subject, incarnation in subjects.items()
+            for mark in self._claim_one(subject, incarnation, now)
+        ]
+
+    def _claim_one(self, subject: str, incarnation: int, now: float) -> list[Mark]:
+        """Return a claim when its delay is over, and again to renew it."""
+        due = self.claims.setdefault(subject, now + self.limits.suspicion_delay_s)
+        if now < due:
+            return []
+        longest_s = self.limits.suspect_s
+        self.claims[subject] = now + longest_s * RENEWAL_SHARE
+        if self.table.is_settled(subject, self.identity.name, now):
+            return []
+        incarnation = max(incarnation, self.table.incarnation_of(subject))
+        remaining_us = int(longest_s * MICROSECONDS)
+        name = self.identity.name
+        return [Mark(subject, SUSPECT, name, incarnation, remaining_us)]
--- /dev/null
+++ b/src/balsamtide/membership/marks.py
@@ -0,0 +1,243 @@
+"""The claims that a process holds about its peers.
+
+A claim is kept until its own deadline.  A subject is believed to be leaving on one
+claim, made by itself or by a reader from the platform's list, and believed to be
+suspect when enough observers claim so.  ``alive`` marks refute claims about a lower
+incarnation.
+"""
+
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass
+
+from msgspec.msgpack import encode
+from xxhash import xxh3_64_intdigest
+
+from balsamtide.membership.limits import MembershipLimits
+from balsamtide.protocol.messages import Mark
+
+__all__ = [
+    "ALIVE",
+    "LEAVING",
+    "PLATFORM",
+    "READER",
+    "SUSPECT",
+    "ZONE_PREFIX",
+    "Claim",
+    "MarkTable",
+    "split_marks",
+]
+
+ALIVE = "alive"
+LEAVING = "leaving"
+READER = "reader"
+SUSPECT = "suspect"
+ZONE_PREFIX = "zone:"
+PLATFORM = "platform"
+MICROSECONDS = 1_000_000
+# Copies of one claim differ by transit time; less than this is not a renewal.
+RENEWAL_MARGIN_S = 1.0
+# A claim with less left is not worth passing on.
+LEAST_REMAINING_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """A claim with a deadline on the local clock.
+
+    Parameters
+    ----------
+    subject, kind, observer : str
+        As in a mark.
+    incarnation : int
+        Incarnation of the subject.
+    deadline : float
+        Time at which it expires, seconds.
+    """
+
+    subject: str
+    kind: str
+    observer: str
+    incarnation: int
+    deadline: float
+
+    @property
+    def fingerprint(self) -> int:
+        """64-bit hash of all but the deadline."""
+        text = f"{self.subject}\0{self.kind}\0{self.observer}\0{self.incarnation}"
+        return xxh3_64_intdigest(text.encode())
+
+    def to_mark(self, now: float) -> Mark:
+        """Return the claim with its remaining time."""
+        remaining_us = int((self.deadline - now) * MICROSECONDS)
+        return Mark(
+            self.subject, self.kind, self.observer, self.incarnation, remaining_us
+        )
+
+
+class MarkTable:
+    """Claims by subject, with beliefs derived from them.
+
+    Parameters
+    ----------
+    limits : MembershipLimits
+        Bounds; the number of subjects is limited.
+    """
+
+    def __init__(self, limits: MembershipLimits) -> None:
+        self.limits = limits
+        self.longest_s = {
+            SUSPECT: limits.suspect_s,
+            LEAVING: limits.leaving_s,
+            ALIVE: limits.alive_s,
+        }
+        self.claims: dict[str, dict[tuple[str, str], Claim]] = {}
+        self.fingerprint = 0
+        self.next_expiry = float("inf")
+
+    def __iter__(self) -> Iterator[Claim]:
+        for claims in self.claims.values():
+            yield from claims.values()
+
+    def merge(self, mark: Mark, *, now: float, staleness_s: float = 0.0) -> bool:
+        """Take a mark and tell whether it was news.
+
+        Parameters
+        ----------
+        mark : Mark
+            The mark as received.
+        now : float
+            Current time, seconds.
+        staleness_s : float
+            Greatest age that the mark can have had on receipt.
+        """
+        longest_s = self.longest_s.get(mark.kind)
+        if longest_s is None:
+            return False
+        remaining_s = min(mark.remaining_us / MICROSECONDS, longest_s) - staleness_s
+        if remaining_s < LEAST_REMAINING_S:
+            return False
+        claim = Claim(
+            mark.subject, mark.kind, mark.observer, mark.incarnation, now + remaining_s
+        )
+        if not self._is_news(claim, now):
+            return False
+        self._put(claim)
+        if claim.kind == ALIVE:
+            self._refute(claim)
+        return True
+
+    def _is_news(self, claim: Claim, now: float) -> bool:
+        if self._is_refuted(claim):
+            return False
+        held = self.claims.get(claim.subject)
+        if held is None:
+            return len(self.claims) < self.limits.marks
+        same = held.get((claim.kind, claim.observer))
+        if same is not None:
+            newer = claim.incarnation > same.incarnation
+            return newer or claim.deadline > same.deadline + RENEWAL_MARGIN_S
+        alike = sum(1 for other in held.values() if other.kind == claim.kind == SUSPECT)
+        return alike < self.limits.kept_observers
+
+    def _is_refuted(self, claim: Claim) -> bool:
+        if claim.kind == ALIVE or claim.observer == PLATFORM:
+            return False
+        return claim.incarnation < self.incarnation_of(claim.subject)
+
+    def incarnation_of(self, subject: str) -> int:
+        """Return the incarnation that ``subject`` last proved, or -1."""
+        alive = self.claims.get(subject, {}).get((ALIVE, subject))
+        return -1 if alive is None else alive.incarnation
+
+    def _refute(self, alive: Claim) -> None:
+        for claim in list(self.claims[alive.subject].values()):
+            if self._is_refuted(claim):
+                self._remove(claim)
+
+    def _put(self, claim: Claim) -> None:
+        held = self.claims.setdefault(claim.subject, {})
+        replaced = held.get((claim.kind, claim.observer))
+        if replaced is not None:
+            self.fingerprint ^= replaced.fingerprint
+        held[claim.kind, claim.observer] = claim
+        self.fingerprint ^= claim.fingerprint
+        self.next_expiry = min(self.next_expiry, claim.deadline)
+
+    def _remove(self, claim: Claim) -> None:
+        held = self.claims[claim.subject]
+        del held[claim.kind, claim.observer]
+        self.fingerprint ^= claim.fingerprint
+        if not held:
+            del self.claims[claim.subject]
+
+    def expire(self, now: float) -> bool:
+        """Drop expired claims and tell whether there were any."""
+        if now < self.next_expiry:
+            return False
+        for claim in [claim for claim in self if claim.deadline <= now]:
+            self._remove(claim)
+        self.next_expiry = min((claim.deadline for claim in self), default=float("inf"))
+        return True
+
+    def belief(self, subject: str, now: float) -> str | None:
+        """Return ``"leaving"``, ``"suspect"`` or None for ``subject``."""
+        held = self.claims.get(subject)
+        if held is None:
+            return None
+        kinds = [claim.kind for claim in held.values() if claim.deadline > now]
+        if LEAVING in kinds:
+            return LEAVING
+        if kinds.count(SUSPECT) >= self.limits.observers:
+            return SUSPECT
+        return None
+
+    def remaining_s(self, subject: str, kind: str, observer: str, now: float) -> float:
+        """Return the time left of one claim, 0 without it."""
+        claim = self.claims.get(subject, {}).get((kind, observer))
+        return 0.0 if claim is None else claim.deadline - now
+
+    def is_settled(self, subject: str, observer: str, now: float) -> bool:
+        """Tell whether enough others claim that ``subject`` is suspect for long."""
+        least = now + self.limits.suspect_s / 2
+        others = [
+            claim
+            for claim in self.claims.get(subject, {}).values()
+            if claim.kind == SUSPECT
+            and claim.observer != observer
+            and claim.deadline > least
+        ]
+        return len(others) >= self.limits.kept_observers
+
+    def beliefs(self, now: float) -> dict[str, str]:
+        """Return all subjects that are believed to be leaving or suspect."""
+        found = {subject: self.belief(subject, now) for subject in self.claims}
+        return {subject: kind for subject, kind in found.items() if kind is not None}
+
+    def digest(self) -> bytes:
+        """Return a hash over all claims, independent of their order."""
+        return self.fingerprint.to_bytes(8, "big")
+
+    def to_marks(self, now: float) -> tuple[Mark, ...]:
+        """Return all claims that are worth passing on."""
+        return tuple(
+            claim.to_mark(now)
+            for claim in self
+            if claim.deadline - now >= LEAST_REMAINING_S
+        )
+
+
+def split_marks(marks: Sequence[Mark], max_bytes: int) -> list[tuple[Mark, ...]]:
+    """Split marks into groups whose encoded size is at most ``max_bytes``."""
+    groups: list[tuple[Mark, ...]] = []
+    group: list[Mark] = []
+    size = 0
+    for mark in marks:
+        mark_bytes = len(encode(mark))
+        if group and size + mark_bytes > max_bytes:
+            groups.append(tuple(group))
+            group, size = [], 0
+        group.append(mark)
+        size += mark_bytes
+    if group:
+        groups.append(tuple(group))
+    return groups
--- /dev/null
+++ b/src/balsamtide/membership/membership.py
@@ -0,0 +1,452 @@
+"""Membership of one process: the composite that daemons and embedders drive."""
+
+from collections.abc import Sequence
+from random import Random
+
+from balsamtide.config.model import Target
+from balsamtide.config.port import Instance, InstanceState
+from balsamtide.membership.directory import Directory, agent_endpoint
+from balsamtide.membership.eligibility import Eligibility
+from balsamtide.membership.epidemic import Epidemic
+from balsamtide.membership.events import (
+    LIST_UPDATED,
+    READER_STARTED,
+    READER_STOPPED,
+    REFUTED,
+)
+from balsamtide.membership.identity import Identity
+from balsamtide.membership.journal import Journal
+from balsamtide.membership.lateness import Lateness
+from balsamtide.membership.limits import MembershipLimits
+from balsamtide.membership.liveness import Observer
+from balsamtide.membership.log import EntryLog
+from balsamtide.membership.marks import (
+    ALIVE,
+    LEAVING,
+    MICROSECONDS,
+    PLATFORM,
+    READER,
+    SUSPECT,
+    ZONE_PREFIX,
+    MarkTable,
+)
+from balsamtide.membership.metrics import MESSAGES, PEERS
+from balsamtide.membership.metrics import READER as READER_GAUGE
+from balsamtide.membership.participant import Participant
+from balsamtide.membership.peers import Peers
+from balsamtide.membership.reader_lease import ReaderLease
+from balsamtide.membership.spreading import PushWithExchange, Spreading
+from balsamtide.membership.status import MarkStatus, MembershipStatus
+from balsamtide.membership.view import LivenessView
+from balsamtide.protocol.actions import Send
+from balsamtide.protocol.messages import (
+    ChainDigest,
+    Endpoint,
+    Heartbeat,
+    HeartbeatAnswer,
+    Mark,
+    Message,
+    Pull,
+    Push,
+)
+from balsamtide.telemetry.sink import Sink
+
+__all__ = ["Membership"]
+
+DEFAULT_LIMITS = MembershipLimits()
+# Rounds in which a leaving process repeats its announcement, and their distance.
+LEAVING_ROUNDS = 3
+LEAVING_ROUND_S = 0.3
+# Least time between two proofs of the own life.
+REFUTATION_S = 1.0
+
+
+class Membership(Participant, LivenessView):
+    """Entries, marks, mutual observation and reader leases of one process.
+
+    Parameters
+    ----------
+    instance : Instance
+        The own line of the list.
+    incarnation : int
+        Random number of this start, below 2**32.
+    log : EntryLog
+        Holder of the configuration.
+    sink : Sink
+        Events, metrics and audit trail.
+    random : Random
+        Source of every random choice.
+    now : float
+        Current time, seconds on the owner's monotonic clock.
+    limits : MembershipLimits
+        Bounds and periods.
+    spreading : type of Spreading
+        How news spreads.
+    """
+
+    def __init__(
+        self,
+        instance: Instance,
+        *,
+        incarnation: int,
+        log: EntryLog,
+        sink: Sink,
+        random: Random,
+        now: float,
+        limits: MembershipLimits = DEFAULT_LIMITS,
+        spreading: type[Spreading] = PushWithExchange,
+    ) -> None:
+        self.identity = Identity(instance, incarnation)
+        self.log = log
+        self.sink = sink
+        self.limits = limits
+        self.journal = Journal(sink, log, instance.name)
+        self.table = MarkTable(limits)
+        self.view = Peers(instance, limits=limits, random=random)
+        self.directory = Directory(instance, log)
+        self.spreading = spreading(self.view, limits)
+        self.lateness = Lateness(self._longest_gap_s(), now)
+        self.eligibility = Eligibility(
+            self.table,
+            directory=self.directory,
+            limits=limits,
+            journal=self.journal,
+        )
+        self.epidemic = Epidemic(
+            self.identity,
+            log=log,
+            table=self.table,
+            spreading=self.spreading,
+            limits=limits,
+            journal=self.journal,
+            is_usable=self._is_usable,
+            now=now,
+        )
+        self.observer = Observer(
+            self.identity,
+            limits=limits,
+            table=self.table,
+            peers=self.view,
+            journal=self.journal,
+            now=now,
+        )
+        self.reader_lease = ReaderLease(instance, limits=limits, random=random, now=now)
+        self.grouped_version = -1
+        self.is_leaving = False
+        self.leaving_rounds = 0
+        self.next_leaving = float("inf")
+        self.next_refutation = now
+        self.was_reader = False
+        self.now = now
+
+    def _longest_gap_s(self) -> float:
+        return self.limits.heartbeat_period_s + self.limits.lateness_s
+
+    def _is_usable(self, peer: Instance) -> bool:
+        if not self.table.claims:
+            return True
+        if self.table.belief(peer.name, self.now) == SUSPECT:
+            return False
+        return self.table.belief(ZONE_PREFIX + peer.zone, self.now) is None
+
+    # Input
+
+    def update_instances(
+        self, instances: Sequence[Instance], now: float
+    ) -> Sequence[Send]:
+        """Take the platform's list; it may lag.
+
+        Returns
+        -------
+        sequence of Send
+            Marks of instances that the list shows as leaving.
+        """
+        self.now = now
+        self.spreading.update(instances)
+        self.directory.update(instances)
+        self.reader_lease.update(instances)
+        self._regroup(now, is_forced=True)
+        leaving = [each for each in instances if each.state is InstanceState.LEAVING]
+        self.journal.event(LIST_UPDATED, instances=len(instances), leaving=len(leaving))
+        self.sink.gauge(PEERS, len(self.view.known))
+        marks = [
+            self._leaving_mark(each.name, PLATFORM, 0)
+            for each in leaving
+            if self.table.remaining_s(each.name, LEAVING, PLATFORM, now)
+            < self.limits.leaving_s / 2
+        ]
+        return self._counted(self._publish(marks, now, cause="platform list"))
+
+    def receive(
+        self, message: Message, *, source: Endpoint, now: float
+    ) -> Sequence[Send]:
+        """Take one message of a peer; messages of other packages are ignored."""
+        self.now = now
+        staleness_s = self.lateness.staleness(now)
+        match message:
+            case Push():
+                self._hear(message, source, now)
+                sends = self._receive_push(message, source, now, staleness_s)
+            case ChainDigest():
+                self._hear(message, source, now)
+                sends = self.epidemic.receive_digest(message, source=source, now=now)
+            case Pull():
+                self._hear(message, source, now)
+                sends = self.epidemic.receive_pull(message, source=source, now=now)
+            case Heartbeat():
+                self._hear(message, source, now)
+                sends = [self._answer(message, source)]
+            case HeartbeatAnswer():
+                self._hear(message, source, now)
+                sends = []
+            case _:
+                return []
+        return self._counted(sends)
+
+    def _hear(
+        self,
+        message: Push | ChainDigest | Pull | Heartbeat | HeartbeatAnswer,
+        source: Endpoint,
+        now: float,
+    ) -> None:
+        self.view.hear(message.sender, source)
+        self.observer.hear(message.sender, message.incarnation, now)
+
+    def _answer(self, heartbeat: Heartbeat, source: Endpoint) -> Send:
+        name, incarnation = self.identity.name, self.identity.incarnation
+        return Send(source, HeartbeatAnswer(name, incarnation, heartbeat.nonce))
+
+    def _receive_push(
+        self, push: Push, source: Endpoint, now: float, staleness_s: float
+    ) -> list[Send]:
+        fresh = [
+            mark
+            for mark in push.marks
+            if mark.kind != READER
+            and self.table.merge(mark, now=now, staleness_s=staleness_s)
+        ]
+        announcements = [
+            mark
+            for mark in push.marks
+            if mark.kind == READER and self.reader_lease.hear(mark, now, staleness_s)
+        ]
+        sends = self.epidemic.receive_entries(push, fresh, source=source, now=now)
+        sends += self._announce(announcements)
+        sends += self._refute(fresh, now)
+        self._after_change(now)
+        return sends
+
+    def entries_arrived(self, now: float) -> Sequence[Send]:
+        """Spread entries that the local reader gave to the log."""
+        self.now = now
+        self._regroup(now)
+        return self._counted(self.epidemic.entries_arrived(now))
+
+    # Time
+
+    @property
+    def deadline(self) -> float:
+        """Time at which ``tick`` is next due."""
+        return min(
+            self.observer.deadline,
+            self.epidemic.next_exchange,
+            self.next_leaving,
+            self.table.next_expiry,
+        )
+
+    def tick(self, now: float) -> Sequence[Send]:
+        """Do what is due at ``now`` and return what to send."""
+        self.now = now
+        self.lateness.staleness(now)
+        is_changed = self.table.expire(now)
+        sends = self.epidemic.tick(now)
+        if now >= self.observer.deadline:
+            observation = self.observer.tick(now)
+            sends += observation.sends
+            sends += self._publish(observation.marks, now, cause="lease ran out")
+            sends += self._tick_reader(now)
+        if now >= self.next_leaving:
+            sends += self._repeat_leaving(now)
+        if is_changed:
+            self._after_change(now)
+        return self._counted(sends)
+
+    def _tick_reader(self, now: float) -> list[Send]:
+        announcement = self.reader_lease.tick(now)
+        if self.reader_lease.is_reader != self.was_reader:
+            self._note_reader()
+        return [] if announcement is None else self._announce([announcement])
+
+    def _note_reader(self) -> None:
+        self.was_reader = self.reader_lease.is_reader
+        zone, name = self.identity.instance.zone, self.identity.name
+        self.sink.gauge(READER_GAUGE, int(self.was_reader))
+        if self.was_reader:
+            self.journal.event(READER_STARTED, zone=zone)
+            self.journal.audit("reader", zone, "reader started", actor=name)
+        else:
+            self.journal.event(READER_STOPPED, zone=zone, cause="others read")
+            self.journal.audit("reader", zone, "reader stopped", actor=name)
+
+    def _announce(self, announcements: Sequence[Mark]) -> list[Send]:
+        """Pass reader announcements on within the zone."""
+        if not announcements:
+            return []
+        name, incarnation = self.identity.name, self.identity.incarnation
+        push = Push(name, incarnation, (), tuple(announcements))
+        recipients = self.view.pick_zone(self.limits.fan_out, self._is_usable)
+        return [Send(each, push) for each in recipients]
+
+    # Claims
+
+    def _leaving_mark(self, subject: str, observer: str, incarnation: int) -> Mark:
+        remaining_us = int(self.limits.leaving_s * MICROSECONDS)
+        return Mark(subject, LEAVING, observer, incarnation, remaining_us)
+
+    def _publish(self, marks: Sequence[Mark], now: float, *, cause: str) -> list[Send]:
+        fresh = [mark for mark in marks if self.table.merge(mark, now=now)]
+        if not fresh:
+            return []
+        for mark in fresh:
+            self.journal.made(mark, cause)
+        self._after_change(now)
+        return self.epidemic.publish(fresh, now)
+
+    def _refute(self, marks: Sequence[Mark], now: float) -> list[Send]:
+        """Prove the own life where a peer claims otherwise."""
+        claims = [
+            mark.incarnation
+            for mark in marks
+            if mark.subject == self.identity.name
+            and mark.observer not in (PLATFORM, self.identity.name)
+            and mark.kind == SUSPECT
+        ]
+        own_leaving = [
+            mark.incarnation
+            for mark in marks
+            if mark.subject == mark.observer == self.identity.name
+            and mark.kind == LEAVING
+            and not self.is_leaving
+        ]
+        claims += own_leaving
+        if not claims or now < self.next_refutation:
+            return []
+        self.next_refutation = now + REFUTATION_S
+        self.identity.outdo(max(claims))
+        self.journal.event(REFUTED, incarnation=self.identity.incarnation)
+        sends = self._publish([self._alive_mark()], now, cause="marked by others")
+        if self.is_leaving:
+            sends += self._publish([self._own_leaving_mark()], now, cause="stopping")
+        return sends
+
+    def _alive_mark(self) -> Mark:
+        remaining_us = int(self.limits.alive_s * MICROSECONDS)
+        name = self.identity.name
+        return Mark(name, ALIVE, name, self.identity.incarnation, remaining_us)
+
+    def _own_leaving_mark(self) -> Mark:
+        name = self.identity.name
+        return self._leaving_mark(name, name, self.identity.incarnation)
+
+    def announce_leaving(self, now: float) -> Sequence[Send]:
+        """Tell peers that this process takes no new work; it is repeated by ticks."""
+        self.now = now
+        self.is_leaving = True
+        self.leaving_rounds = LEAVING_ROUNDS
+        return self._counted(self._repeat_leaving(now))
+
+    def _repeat_leaving(self, now: float) -> list[Send]:
+        """Push the claim again, to other random peers each time."""
+        mark = self._own_leaving_mark()
+        if self.table.merge(mark, now=now):
+            self.journal.made(mark, "stopping")
+            self._after_change(now)
+        self.leaving_rounds = max(0, self.leaving_rounds - 1)
+        wait_s = LEAVING_ROUND_S if self.leaving_rounds else self.limits.leaving_s / 3
+        self.next_leaving = now + wait_s
+        sends = self.epidemic.publish([mark], now)
+        name, incarnation = self.identity.name, self.identity.incarnation
+        push = Push(name, incarnation, (), (mark,))
+        partners = [each.instance.inner for each in self.observer.partners.values()]
+        told = {send.destination for send in sends}
+        return sends + [Send(each, push) for each in partners if each not in told]
+
+    def _after_change(self, now: float) -> None:
+        self.journal.update_beliefs(self.table.beliefs(now))
+        self._regroup(now)
+
+    def _regroup(self, now: float, *, is_forced: bool = False) -> None:
+        """Choose partners anew when the list or the configuration changed."""
+        version = self.log.held.in_force
+        if version == self.grouped_version and not is_forced:
+            return
+        self.grouped_version = version
+        self.observer.update(self.directory.group(), now)
+
+    # Questions
+
+    def is_eligible(self, instance: str, zone: str, now: float) -> bool:
+        """Tell whether ``instance`` may be given new work."""
+        return self.eligibility.is_eligible(instance, zone, now)
+
+    def is_target_eligible(self, name: str, target: Target, now: float) -> bool:
+        """Tell whether the agent beside the target ``name`` may be given new work."""
+        instance = self.directory.instance_at(agent_endpoint(target)) or name
+        return self.eligibility.is_eligible(instance, target.zone, now)
+
+    def peers(self) -> Sequence[Instance]:
+        """Return the listed peers of the partial view that are not suspect."""
+        return [peer for peer in self.view.all if self._is_usable(peer)]
+
+    @property
+    def is_reader(self) -> bool:
+        """Whether this process reads the platform for its zone."""
+        return self.reader_lease.is_reader
+
+    def bulk_peer(self) -> Instance | None:
+        """Return the peer to fetch bulk state from, if that is needed now."""
+        source = self.epidemic.bulk_source
+        if source is None or self.log.held.number >= self.epidemic.newest_heard:
+            return None
+        return self.view.by_endpoint.get(source)
+
+    def status(self) -> MembershipStatus:
+        """Return the state as of the last call with a time."""
+        held = self.log.held
+        silent = [
+            name
+            for name, partner in self.observer.partners.items()
+            if partner.lease_deadline <= self.now
+        ]
+        return MembershipStatus(
+            instance=self.identity.name,
+            incarnation=self.identity.incarnation,
+            version=held.in_force,
+            number=held.number,
+            lag=max(0, self.epidemic.newest_heard - held.number),
+            readers=self.reader_lease.readers,
+            is_reader=self.reader_lease.is_reader,
+            is_cut_off=self.observer.is_cut_off,
+            is_leaving=self.is_leaving,
+            marks=self._mark_statuses(),
+            partners=tuple(sorted(self.observer.partners)),
+            silent=tuple(sorted(silent)),
+            peers=len(self.view.known),
+        )
+
+    def _mark_statuses(self) -> tuple[MarkStatus, ...]:
+        return tuple(
+            MarkStatus(
+                subject=claim.subject,
+                kind=claim.kind,
+                observer=claim.observer,
+                remaining_s=round(claim.deadline - self.now, 3),
+                is_believed=self.table.belief(claim.subject, self.now) == claim.kind,
+            )
+            for claim in self.table
+        )
+
+    def _counted(self, sends: list[Send]) -> list[Send]:
+        for send in sends:
+            self.sink.count(MESSAGES, kind=type(send.message).__name__)
+        return sends
--- /dev/null
+++ b/src/balsamtide/membership/reader_lease.py
@@ -0,0 +1,145 @@
+"""Who reads the platform: leases by rendezvous hashing, without any election.
+
+A reader announces itself in its zone with marks of kind ``reader``.  A process that
+misses enough of these announcements waits by its rank and then reads for itself.  A
+reader that hears enough better ranked ones stops.
+"""
+
+from collections.abc import Sequence
+from random import Random
+
+from xxhash import xxh3_64_intdigest
+
+from balsamtide.config.port import Instance, InstanceState
+from balsamtide.membership.limits import MembershipLimits
+from balsamtide.membership.marks import MICROSECONDS, READER
+from balsamtide.protocol.messages import Mark
+
+__all__ = ["READER_PREFIX", "ReaderLease"]
+
+READER_PREFIX = "reader:"
+# Announcements in one lease time.
+RENEWALS = 3
+# Reads that may fail in a row before a reader leaves its place to another.
+FAILED_READS = 6
+# Time for which such a process does not read again, unless nobody does.
+STAND_BACK_S = 60.0
+
+
+class ReaderLease:
+    """Decides whether the own process reads the platform.
+
+    Parameters
+    ----------
+    own : Instance
+        The own instance.
+    limits : MembershipLimits
+        Leases and steps.
+    random : Random
+        Source of jitter.
+    now : float
+        Current time, seconds.
+    """
+
+    def __init__(
+        self, own: Instance, *, limits: MembershipLimits, random: Random, now: float
+    ) -> None:
+        self.own = own
+        self.limits = limits
+        self.random = random
+        self.subject = READER_PREFIX + own.zone
+        self.own_weight = self.weight(own.name)
+        self.rank: int | None = None
+        self.leases: dict[str, float] = {}
+        self.is_reader = False
+        self.failures = 0
+        self.next_announcement = now
+        self.take_over_at: float | None = None
+        self.started = now
+
+    def weight(self, name: str) -> int:
+        """Return the rendezvous weight of ``name`` in the own zone."""
+        return xxh3_64_intdigest(f"{self.own.zone}\0{name}".encode())
+
+    def update(self, instances: Sequence[Instance]) -> None:
+        """Take a new list and find the own rank among the live of the zone."""
+        self.rank = sum(
+            1
+            for each in instances
+            if each.zone == self.own.zone
+            and each.state is InstanceState.LIVE
+            and each.name != self.own.name
+            and self.weight(each.name) > self.own_weight
+        )
+        if not self.is_reader:
+            self.take_over_at = None
+
+    def hear(self, mark: Mark, now: float, staleness_s: float) -> bool:
+        """Take the announcement of a reader and tell whether it was news."""
+        if mark.subject != self.subject or mark.observer == self.own.name:
+            return False
+        longest_s = self.limits.reader_lease_s
+        remaining_s = min(mark.remaining_us / MICROSECONDS, longest_s) - staleness_s
+        deadline = now + remaining_s
+        margin_s = longest_s / RENEWALS / 2
+        if remaining_s <= 0 or deadline < self.leases.get(mark.observer, 0) + margin_s:
+            return False
+        is_full = len(self.leases) >= 4 * self.limits.readers_per_zone
+        if is_full and mark.observer not in self.leases:
+            return False
+        self.leases[mark.observer] = deadline
+        return True
+
+    def tick(self, now: float) -> Mark | None:
+        """Decide anew; return an announcement when one is due."""
+        self.leases = {
+            name: deadline for name, deadline in self.leases.items() if deadline > now
+        }
+        if self.is_reader:
+            self._consider_stopping(now)
+        else:
+            self._consider_starting(now)
+        if not self.is_reader or now < self.next_announcement:
+            return None
+        self.next_announcement = now + self.limits.reader_lease_s / RENEWALS
+        remaining_us = int(self.limits.reader_lease_s * MICROSECONDS)
+        return Mark(self.subject, READER, self.own.name, 0, remaining_us)
+
+    def _consider_stopping(self, now: float) -> None:
+        better = sum(1 for name in self.leases if self.weight(name) > self.own_weight)
+        wanted = self.limits.readers_per_zone
+        if better >= wanted:
+            self.is_reader = False
+        elif self.failures >= FAILED_READS and len(self.leases) >= 1:
+            self.is_reader = False
+            self.take_over_at = now + STAND_BACK_S * (0.5 + self.random.random())
+        self.failures = self.failures if self.is_reader else 0
+
+    def _consider_starting(self, now: float) -> None:
+        if len(self.leases) >= self.limits.readers_per_zone:
+            self.take_over_at = None
+            return
+        if self.take_over_at is None:
+            self.take_over_at = now + self._wait_s(now)
+        if now >= self.take_over_at:
+            self.is_reader = True
+            self.take_over_at = None
+            self.next_announcement = now
+
+    def _wait_s(self, now: float) -> float:
+        """Return the wait by rank; without a list it is random."""
+        jitter_s = self.random.random() * self.limits.take_over_step_s
+        if self.rank is None:
+            return 5 * jitter_s + self.random.random() * self.limits.longest_take_over_s
+        steps = max(0, self.rank - self.limits.readers_per_zone + 1)
+        wait_s = steps * self.limits.take_over_step_s
+        if wait_s > self.limits.longest_take_over_s:
+            spread_s = self.limits.longest_take_over_s * self.random.random()
+            wait_s = self.limits.longest_take_over_s + spread_s
+        return wait_s + jitter_s
+
+    @property
+    def readers(self) -> tuple[str, ...]:
+        """Names of the readers of the zone that are known here."""
+        own = (self.own.name,) if self.is_reader else ()
+        return tuple(sorted((*self.leases, *own)))
--- /dev/null
+++ b/tests/test_membership_epidemic.py
@@ -0,0 +1,99 @@
+"""Spread of entries among members."""
+
+from random import Random
+
+import pytest
+
+from balsamtide.membership import PushOnly, PushWithExchange, RelayTree
+from bench.standins.members import Fleet, FleetRules, make_instances
+from tests.fakes_membership import FakeLog, make_entry
+
+
+def make_fleet(size: int = 40, **rules: object) -> Fleet:
+    """Return a fleet whose members take any entry."""
+    return Fleet(
+        make_instances(size),
+        make_log=lambda sink: FakeLog(),
+        rules=FleetRules(**rules),  # type: ignore[arg-type]
+    )
+
+
+def publish(fleet: Fleet, name: str, *entries: int, padding: int = 100) -> None:
+    """Let the reader in one member deliver entries."""
+    member = fleet.members[name]
+    made = [make_entry(number, padding=padding) for number in entries]
+    member.log.offer_entries(made, source="platform", now=fleet.now)
+    fleet.send(member, member.membership.entries_arrived(fleet.now))
+
+
+def numbers(fleet: Fleet) -> set[int]:
+    """Return the last entries held over all members."""
+    return {each.log.held.number for each in fleet.members.values()}
+
+
+@pytest.mark.parametrize(
+    ("spreading", "loss", "paused"),
+    [
+        (PushOnly, 0.0, 0),
+        (PushWithExchange, 0.0, 0),
+        (PushWithExchange, 0.05, 2),
+        (PushWithExchange, 0.3, 2),
+        (RelayTree, 0.0, 0),
+        (RelayTree, 0.05, 2),
+    ],
+)
+def test_entry_reaches_all(spreading: type, loss: float, paused: int) -> None:
+    """An entry reaches all members, with loss and pauses where it is repaired."""
+    fleet = make_fleet(spreading=spreading, loss=loss)
+    fleet.run(1.0)
+    for number in range(paused):
+        fleet.pause(f"agent-{10 + number}", 2.0)
+    publish(fleet, "agent-3", 1)
+    fleet.run(8.0)
+    reached = sum(each.log.held.number == 1 for each in fleet.members.values())
+    assert reached >= (0.9 if spreading is PushOnly else 1) * len(fleet.members)
+
+
+@pytest.mark.parametrize("padding", [10, 400, 900])
+def test_long_gap_is_pulled(padding: int) -> None:
+    """A member that missed many entries pulls them in pieces that fit a datagram."""
+    fleet = make_fleet(6)
+    publish(fleet, "agent-0", *range(1, 41), padding=padding)
+    fleet.run(10.0)
+    assert numbers(fleet) == {40}
+    assert fleet.largest_bytes <= 1200
+
+
+def test_large_entry_needs_bulk_transfer() -> None:
+    """An entry larger than a datagram makes members ask for a bulk transfer."""
+    fleet = make_fleet(6)
+    publish(fleet, "agent-0", 1, padding=5000)
+    fleet.run(10.0)
+    peers = [each.membership.bulk_peer() for each in fleet.members.values()]
+    assert peers[0] is None
+    assert all(peer is not None for peer in peers[1:])
+    assert fleet.largest_bytes <= 1200
+
+
+def test_healing_after_partition() -> None:
+    """Both sides of a partition go on, and the higher version wins on healing."""
+    fleet = make_fleet(30, loss=0.05)
+    fleet.blocked = lambda one, other: (one.zone == "a") != (other.zone == "a")
+    publish(fleet, "agent-1", 1, 2)
+    fleet.run(5.0)
+    assert numbers(fleet) == {0, 2}
+    fleet.blocked = None
+    fleet.run(8.0)
+    assert numbers(fleet) == {2}
+
+
+def test_seed_decides_all() -> None:
+    """Two runs with one seed send the same datagrams."""
+
+    def run() -> tuple[int, int]:
+        fleet = make_fleet(20, loss=0.1, seed=Random(3).randrange(99))
+        publish(fleet, "agent-0", 1)
+        fleet.run(3.0)
+        return fleet.sent, fleet.sent_bytes
+
+    assert run() == run()
