Judge entries as a pure function of the log and hold the version

A process must reach the same verdicts as all others without talking to them, and its version must never go down. The judge applies RFC 6902 patches within fixed limits of operations, values and depth; only services that a patch names are expanded, the others keep their identity. The holder takes entries in any order, keeps what came ahead of a gap in a bounded buffer, and counts other content under a held number as a conflict. An entry that no process could pass on has one rejected form, so that the log has no gaps.

AuditRecord gains the field source with a default: the trail says who delivered an entry. The pattern of names ends in \Z, because $ admits a trailing newline.

--- /dev/null
+++ b/src/balsamtide/config/entries.py
@@ -0,0 +1,165 @@
+"""Entries of the log: intake, canonical octets and the chain hash.
+
+Whatever the platform serves under a number becomes one `Entry`.  Something that is
+not a usable entry becomes `malformed_entry(number)`, the same in every process, so
+that the log stays without gaps and every holder reaches the same verdict.
+"""
+
+from hashlib import blake2b
+from math import isfinite
+
+from msgspec import DecodeError, Raw, Struct, ValidationError
+from msgspec.json import decode, encode
+from msgspec.msgpack import encode as encode_msgpack
+
+from balsamtide.protocol.messages import Entry
+
+__all__ = [
+    "CHAIN_BYTES",
+    "EMPTY_CHAIN",
+    "MAX_ACTOR_CHARS",
+    "MAX_ENTRY_BYTES",
+    "MAX_VALUE_DEPTH",
+    "EntryFault",
+    "Extent",
+    "canonical_octets",
+    "check_entry",
+    "extend_chain",
+    "malformed_entry",
+    "measure_value",
+    "parse_entries",
+]
+
+CHAIN_BYTES = 16
+EMPTY_CHAIN = bytes(CHAIN_BYTES)
+MALFORMED_BASE = -1
+MAX_ACTOR_CHARS = 128
+MAX_ENTRY_BYTES = 1_000_000
+MAX_ENTRY_NUMBER = 2**63 - 1
+MAX_VALUE_DEPTH = 16
+
+
+class EntryFault(ValueError):
+    """An entry that no process can use or pass on."""
+
+
+class Extent(Struct, frozen=True):
+    """Size of a JSON value.
+
+    Parameters
+    ----------
+    nodes : int
+        Number of scalars, arrays and objects in it.
+    depth : int
+        Levels of nesting; 1 for a scalar.
+    """
+
+    nodes: int
+    depth: int
+
+
+def _children(value: object) -> list[object]:
+    if isinstance(value, dict):
+        if not all(isinstance(key, str) for key in value):
+            raise EntryFault("an object key is not a string")
+        return list(value.values())
+    if isinstance(value, list | tuple):
+        return list(value)
+    if isinstance(value, float) and not isfinite(value):
+        raise EntryFault("a number is not finite")
+    if value is None or isinstance(value, str | int | float):
+        return []
+    raise EntryFault(f"{type(value).__name__} is not a JSON type")
+
+
+def measure_value(value: object, *, max_nodes: int, max_depth: int) -> Extent:
+    """Return the extent of a JSON value.
+
+    Raises
+    ------
+    EntryFault
+        If it exceeds a limit or is not a JSON value.
+    """
+    nodes = 0
+    depth = 0
+    level = [value]
+    while level:
+        nodes += len(level)
+        depth += 1
+        if nodes > max_nodes:
+            raise EntryFault(f"more than {max_nodes} values")
+        if depth > max_depth:
+            raise EntryFault(f"nested deeper than {max_depth} levels")
+        level = [child for parent in level for child in _children(parent)]
+    return Extent(nodes, depth)
+
+
+def canonical_octets(entry: Entry) -> bytes:
+    """Return the octets that stand for ``entry`` in the chain hash."""
+    return encode(entry, order="deterministic")
+
+
+def extend_chain(chain: bytes, octets: bytes) -> bytes:
+    """Return the chain hash after an entry with the canonical ``octets``."""
+    return blake2b(chain + octets, digest_size=CHAIN_BYTES).digest()
+
+
+def check_entry(entry: Entry) -> None:
+    """Check what every process must be able to hold and pass on.
+
+    Raises
+    ------
+    EntryFault
+        If the entry is unusable.
+    """
+    if not 1 <= entry.number <= MAX_ENTRY_NUMBER:
+        raise EntryFault("the number is out of range")
+    if not 0 <= entry.base <= MAX_ENTRY_NUMBER:
+        raise EntryFault("the base is out of range")
+    if len(entry.actor) > MAX_ACTOR_CHARS:
+        raise EntryFault(f"the actor has more than {MAX_ACTOR_CHARS} characters")
+    for operation in entry.patch:
+        measure_value(
+            operation.value, max_nodes=MAX_ENTRY_BYTES, max_depth=MAX_VALUE_DEPTH
+        )
+    try:
+        size = len(encode_msgpack(entry))
+    except (OverflowError, UnicodeEncodeError) as error:
+        raise EntryFault("a value cannot be encoded") from error
+    if size > MAX_ENTRY_BYTES:
+        raise EntryFault(f"more than {MAX_ENTRY_BYTES} octets")
+
+
+def malformed_entry(number: int) -> Entry:
+    """Return what stands for an unusable entry with this number."""
+    return Entry(number=number, base=MALFORMED_BASE, patch=())
+
+
+class _Numbered(Struct):
+    number: int
+
+
+def _parse_entry(raw: Raw) -> Entry:
+    number = decode(raw, type=_Numbered).number
+    if not 1 <= number <= MAX_ENTRY_NUMBER:
+        raise EntryFault("the number is out of range")
+    try:
+        entry = decode(raw, type=Entry)
+        check_entry(entry)
+    except (ValidationError, DecodeError, RecursionError, EntryFault):
+        return malformed_entry(number)
+    return entry
+
+
+def parse_entries(body: bytes) -> tuple[Entry, ...]:
+    """Return the entries of a JSON array as the platform serves it.
+
+    Raises
+    ------
+    EntryFault
+        If the body is no array, or an element of it has no number.
+    """
+    try:
+        return tuple(_parse_entry(raw) for raw in decode(body, type=list[Raw]))
+    except (ValidationError, DecodeError, RecursionError) as error:
+        raise EntryFault("the body is not an array of numbered entries") from error
--- /dev/null
+++ b/src/balsamtide/config/holder.py
@@ -0,0 +1,339 @@
+"""What a process holds of the log; the version in force never goes down."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from balsamtide.config.entries import (
+    CHAIN_BYTES,
+    EMPTY_CHAIN,
+    EntryFault,
+    canonical_octets,
+    check_entry,
+    malformed_entry,
+)
+from balsamtide.config.events import (
+    ENTRY_CONFLICT,
+    ENTRY_IN_FORCE,
+    ENTRY_OVERFLOW,
+    ENTRY_REJECTED,
+    SNAPSHOT_ADOPTED,
+    SNAPSHOT_REFUSED,
+)
+from balsamtide.config.history import History
+from balsamtide.config.judge import Judgement, judge
+from balsamtide.config.metrics import (
+    BUFFERED_ENTRIES,
+    CONFLICTS,
+    ENTRIES,
+    HELD_ENTRY,
+    IGNORED_ENTRIES,
+    SNAPSHOTS,
+    VERSION,
+)
+from balsamtide.config.model import Configuration
+from balsamtide.config.port import Snapshot
+from balsamtide.config.semantics import find_violation
+from balsamtide.config.waiting import Waiting
+from balsamtide.protocol.messages import Entry
+from balsamtide.telemetry.sink import AuditRecord, Sink
+
+__all__ = ["ConfigurationHolder", "Held"]
+
+HISTORY_ENTRIES = 1024
+HISTORY_BYTES = 4_000_000
+WAITING_ENTRIES = 1024
+WAITING_BYTES = 4_000_000
+MAX_NUMBER = 2**63 - 1
+EMPTY = Configuration()
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Held:
+    """The state of the log in one process.
+
+    Parameters
+    ----------
+    number : int
+        Last entry held, 0 if none.
+    in_force : int
+        Last entry in force, 0 if none; this is the version.
+    chain : bytes
+        Hash over all entries up to ``number``.
+    configuration : Configuration
+        The configuration in force.
+    """
+
+    number: int = 0
+    in_force: int = 0
+    chain: bytes = EMPTY_CHAIN
+    configuration: Configuration = EMPTY
+
+
+class ConfigurationHolder:
+    """Takes entries and snapshots in any order and judges them in log order.
+
+    Parameters
+    ----------
+    sink : Sink
+        Receives events, audit records and metrics.
+    history_entries, history_bytes : int
+        Bounds of the recent entries kept for peers.
+    waiting_entries, waiting_bytes : int
+        Bounds of the entries kept until a gap before them closes.
+    """
+
+    def __init__(
+        self,
+        *,
+        sink: Sink,
+        history_entries: int = HISTORY_ENTRIES,
+        history_bytes: int = HISTORY_BYTES,
+        waiting_entries: int = WAITING_ENTRIES,
+        waiting_bytes: int = WAITING_BYTES,
+    ) -> None:
+        self.sink = sink
+        self.held = Held()
+        self.in_force_at: float | None = None
+        self.conflicts = 0
+        self.history_entries = history_entries
+        self.history_bytes = history_bytes
+        self.history = self._history(self.held)
+        self.waiting = Waiting(max_entries=waiting_entries, max_bytes=waiting_bytes)
+
+    def _history(self, held: Held) -> History:
+        return History(
+            held.number,
+            held.chain,
+            max_entries=self.history_entries,
+            max_bytes=self.history_bytes,
+        )
+
+    def offer_entries(
+        self, entries: Iterable[Entry], *, source: str, now: float
+    ) -> tuple[Judgement, ...]:
+        """Take ``entries`` and return the verdicts that follow, in log order.
+
+        Parameters
+        ----------
+        entries : iterable of Entry
+            In any order, with gaps and duplicates.
+        source : str
+            Who delivered them.
+        now : float
+            Local monotonic time, seconds.
+        """
+        judgements: list[Judgement] = []
+        for entry in entries:
+            if self._is_new(entry, source):
+                self._wait(entry, source)
+                judgements.extend(self._judge_ready(now))
+        self.sink.gauge(BUFFERED_ENTRIES, len(self.waiting))
+        return tuple(judgements)
+
+    def _is_new(self, entry: Entry, source: str) -> bool:
+        if not 1 <= entry.number <= MAX_NUMBER:
+            self.sink.count(IGNORED_ENTRIES, why="number")
+            return False
+        if entry.number <= self.held.number:
+            item = self.history.item(entry.number)
+            known = None if item is None else item.entry
+        else:
+            waiting = self.waiting.get(entry.number)
+            if waiting is None:
+                return True
+            known = waiting.entry
+        if known is not None and not _is_same(known, entry):
+            self._report_conflict(entry.number, source)
+        self.sink.count(IGNORED_ENTRIES, why="duplicate")
+        return False
+
+    def _wait(self, entry: Entry, source: str) -> None:
+        for dropped in self.waiting.add(_usable(entry), source=source):
+            self.sink.count(IGNORED_ENTRIES, why="overflow")
+            self.sink.event(
+                ENTRY_OVERFLOW,
+                number=dropped.entry.number,
+                held=self.held.number,
+                source=dropped.source,
+            )
+
+    def _judge_ready(self, now: float) -> list[Judgement]:
+        judgements = []
+        while (item := self.waiting.take(self.held.number + 1)) is not None:
+            judgements.append(self._judge(item.entry, item.source, now))
+        return judgements
+
+    def _judge(self, entry: Entry, source: str, now: float) -> Judgement:
+        judgement = judge(self.held.configuration, self.held.in_force, entry)
+        self.history.append(entry)
+        if judgement.is_in_force:
+            self.in_force_at = now
+        self.held = Held(
+            number=entry.number,
+            in_force=entry.number if judgement.is_in_force else self.held.in_force,
+            chain=self.history.chain,
+            configuration=judgement.configuration,
+        )
+        self._report_verdict(entry, judgement, source, now)
+        return judgement
+
+    def offer_snapshot(self, snapshot: Snapshot, *, source: str, now: float) -> bool:
+        """Adopt ``snapshot`` if it lies ahead, and tell whether it was adopted."""
+        if self.is_conflicting(snapshot.number, snapshot.chain):
+            self._report_conflict(snapshot.number, source)
+            return self._refuse(snapshot, source, "conflict", "another chain hash")
+        if snapshot.number <= self.held.number:
+            self.sink.count(SNAPSHOTS, outcome="not-ahead")
+            return False
+        if snapshot.in_force < self.held.in_force:
+            detail = f"version {snapshot.in_force} below {self.held.in_force}"
+            return self._refuse(snapshot, source, "lower-version", detail)
+        fault = _snapshot_fault(snapshot)
+        if fault is not None:
+            return self._refuse(snapshot, source, "invalid", fault)
+        self._adopt(snapshot, source, now)
+        self._judge_ready(now)
+        return True
+
+    def _adopt(self, snapshot: Snapshot, source: str, now: float) -> None:
+        if snapshot.in_force != self.held.in_force:
+            self.in_force_at = now
+        self.held = Held(
+            number=snapshot.number,
+            in_force=snapshot.in_force,
+            chain=snapshot.chain,
+            configuration=snapshot.configuration,
+        )
+        self.history = self._history(self.held)
+        self.waiting.forget_up_to(snapshot.number)
+        self.sink.count(SNAPSHOTS, outcome="adopted")
+        self.sink.event(
+            SNAPSHOT_ADOPTED,
+            number=snapshot.number,
+            in_force=snapshot.in_force,
+            source=source,
+            at=now,
+        )
+        self._audit(f"snapshot {snapshot.number}", "in force", source=source)
+        self._report_held()
+
+    def _refuse(self, snapshot: Snapshot, source: str, why: str, detail: str) -> bool:
+        self.sink.count(SNAPSHOTS, outcome=why)
+        self.sink.event(
+            SNAPSHOT_REFUSED,
+            number=snapshot.number,
+            why=why,
+            detail=detail,
+            source=source,
+        )
+        cause = f"{why}: {detail}"
+        self._audit(f"snapshot {snapshot.number}", "refused", cause, source=source)
+        return False
+
+    def snapshot(self) -> Snapshot:
+        """Return what is held as a snapshot for a peer."""
+        return Snapshot(
+            number=self.held.number,
+            in_force=self.held.in_force,
+            chain=self.held.chain,
+            configuration=self.held.configuration,
+        )
+
+    def entries_after(self, number: int, *, max_bytes: int) -> tuple[Entry, ...]:
+        """Return the entries that follow ``number``, up to ``max_bytes`` of them.
+
+        None are returned where `has_entries_after` is false, or where the first one
+        alone exceeds ``max_bytes`` in its canonical octets.
+        """
+        return self.history.after(number, max_bytes=max_bytes)
+
+    def has_entries_after(self, number: int) -> bool:
+        """Tell whether entries lead on from ``number``; if not, a snapshot does."""
+        return self.history.start <= number < self.history.number
+
+    def is_conflicting(self, number: int, chain: bytes) -> bool:
+        """Tell whether a peer's chain hash at ``number`` contradicts this log."""
+        known = self.history.chain_at(number)
+        return known is not None and known != chain
+
+    def _report_conflict(self, number: int, source: str) -> None:
+        self.conflicts += 1
+        self.sink.count(CONFLICTS)
+        self.sink.event(ENTRY_CONFLICT, number=number, source=source)
+        self._audit(f"entry {number}", "conflict", source=source)
+
+    def _report_verdict(
+        self, entry: Entry, judgement: Judgement, source: str, now: float
+    ) -> None:
+        self.sink.count(ENTRIES, reason=judgement.reason.value)
+        if judgement.is_in_force:
+            self.sink.event(
+                ENTRY_IN_FORCE,
+                number=entry.number,
+                actor=entry.actor,
+                source=source,
+                at=now,
+            )
+        else:
+            self.sink.event(
+                ENTRY_REJECTED,
+                number=entry.number,
+                reason=judgement.reason.value,
+                detail=judgement.detail,
+                actor=entry.actor,
+                source=source,
+                in_force=self.held.in_force,
+            )
+        self._audit(
+            f"entry {entry.number}",
+            "in force" if judgement.is_in_force else "rejected",
+            f"{judgement.reason.value}: {judgement.detail}".removesuffix(": "),
+            actor=entry.actor,
+            source=source,
+        )
+        self._report_held()
+
+    def _audit(
+        self,
+        subject: str,
+        change: str,
+        cause: str = "",
+        *,
+        actor: str = "",
+        source: str,
+    ) -> None:
+        record = AuditRecord(
+            kind="entry",
+            subject=subject,
+            change=change,
+            version=self.held.in_force,
+            cause=cause,
+            actor=actor,
+            source=source,
+        )
+        self.sink.audit(record)
+
+    def _report_held(self) -> None:
+        self.sink.gauge(VERSION, self.held.in_force)
+        self.sink.gauge(HELD_ENTRY, self.held.number)
+
+
+def _usable(entry: Entry) -> Entry:
+    try:
+        check_entry(entry)
+    except EntryFault:
+        return malformed_entry(entry.number)
+    return entry
+
+
+def _is_same(known: Entry, other: Entry) -> bool:
+    return canonical_octets(known) == canonical_octets(_usable(other))
+
+
+def _snapshot_fault(snapshot: Snapshot) -> str | None:
+    if not 0 <= snapshot.in_force <= snapshot.number <= MAX_NUMBER:
+        return "numbers are out of range"
+    if len(snapshot.chain) != CHAIN_BYTES:
+        return f"the chain hash has {len(snapshot.chain)} octets"
+    violation = find_violation(EMPTY, snapshot.configuration)
+    return None if violation is None else f"{violation.path}: {violation.detail}"
--- /dev/null
+++ b/src/balsamtide/config/judge.py
@@ -0,0 +1,109 @@
+"""The verdict on an entry: a pure function of the log."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from balsamtide.config.entries import EntryFault, check_entry
+from balsamtide.config.model import Configuration
+from balsamtide.config.patching import PatchError, PatchFault, patched
+from balsamtide.config.semantics import find_violation
+from balsamtide.protocol.messages import Entry
+
+__all__ = ["Judgement", "Reason", "judge"]
+
+MAX_DETAIL_CHARS = 200
+
+
+class Reason(Enum):
+    """Why an entry is in force or rejected."""
+
+    ACCEPTED = "accepted"
+    MALFORMED = "malformed"
+    STALE_BASE = "stale-base"
+    TOO_LARGE = "too-large"
+    TEST_FAILED = "test-failed"
+    PATCH_CONFLICT = "patch-conflict"
+    INVALID = "invalid"
+    RULE_BROKEN = "rule-broken"
+
+
+REASON_OF_FAULT = {
+    PatchFault.MALFORMED: Reason.MALFORMED,
+    PatchFault.TOO_LARGE: Reason.TOO_LARGE,
+    PatchFault.TEST_FAILED: Reason.TEST_FAILED,
+    PatchFault.CONFLICT: Reason.PATCH_CONFLICT,
+    PatchFault.INVALID: Reason.INVALID,
+}
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Judgement:
+    """The verdict on one entry.
+
+    Parameters
+    ----------
+    number : int
+        Number of the entry.
+    is_in_force : bool
+        Whether it is in force; otherwise it is rejected.
+    reason : Reason
+        Class of the reason, ``ACCEPTED`` where it is in force.
+    configuration : Configuration
+        The configuration after the entry; unchanged by a rejected one.
+    detail : str
+        What exactly was found, for people.
+    """
+
+    number: int
+    is_in_force: bool
+    reason: Reason
+    configuration: Configuration
+    detail: str = ""
+
+
+def _rejected(
+    configuration: Configuration, entry: Entry, reason: Reason, detail: str
+) -> Judgement:
+    return Judgement(
+        number=entry.number,
+        is_in_force=False,
+        reason=reason,
+        configuration=configuration,
+        detail=detail[:MAX_DETAIL_CHARS],
+    )
+
+
+def judge(configuration: Configuration, in_force: int, entry: Entry) -> Judgement:
+    """Return the verdict on ``entry``.
+
+    Parameters
+    ----------
+    configuration : Configuration
+        The configuration in force before the entry.
+    in_force : int
+        Number of the last entry in force before it, 0 if there is none.
+    entry : Entry
+        The entry that follows in the log.
+    """
+    try:
+        check_entry(entry)
+    except EntryFault as fault:
+        return _rejected(configuration, entry, Reason.MALFORMED, str(fault))
+    if entry.base != in_force:
+        detail = f"base {entry.base} while {in_force} is in force"
+        return _rejected(configuration, entry, Reason.STALE_BASE, detail)
+    try:
+        successor = patched(configuration, entry.patch)
+    except PatchError as error:
+        reason = REASON_OF_FAULT[error.fault]
+        return _rejected(configuration, entry, reason, error.detail)
+    violation = find_violation(configuration, successor)
+    if violation is not None:
+        detail = f"{violation.kind.value}: {violation.path}: {violation.detail}"
+        return _rejected(configuration, entry, Reason.RULE_BROKEN, detail)
+    return Judgement(
+        number=entry.number,
+        is_in_force=True,
+        reason=Reason.ACCEPTED,
+        configuration=successor,
+    )
--- /dev/null
+++ b/src/balsamtide/config/metrics.py
@@ -0,0 +1,63 @@
+"""Metrics of the configuration package."""
+
+from balsamtide.telemetry.event import Metric, MetricKind
+
+__all__ = [
+    "BUFFERED_ENTRIES",
+    "CONFLICTS",
+    "ENTRIES",
+    "HELD_ENTRY",
+    "IGNORED_ENTRIES",
+    "METRICS",
+    "SNAPSHOTS",
+    "VERSION",
+]
+
+VERSION = Metric(
+    name="config_version",
+    kind=MetricKind.GAUGE,
+    meaning="Number of the last entry in force.",
+)
+HELD_ENTRY = Metric(
+    name="config_held_entry",
+    kind=MetricKind.GAUGE,
+    meaning="Number of the last entry held, in force or rejected.",
+)
+BUFFERED_ENTRIES = Metric(
+    name="config_buffered_entries",
+    kind=MetricKind.GAUGE,
+    meaning="Entries held back until a gap before them closes.",
+)
+ENTRIES = Metric(
+    name="config_entries_total",
+    kind=MetricKind.COUNTER,
+    meaning="Entries judged, by reason.",
+    labels=("reason",),
+)
+IGNORED_ENTRIES = Metric(
+    name="config_ignored_entries_total",
+    kind=MetricKind.COUNTER,
+    meaning="Entries that were offered and not used: duplicate, number or overflow.",
+    labels=("why",),
+)
+CONFLICTS = Metric(
+    name="config_conflicts_total",
+    kind=MetricKind.COUNTER,
+    meaning="Entries or snapshots that contradict what is held under their number.",
+)
+SNAPSHOTS = Metric(
+    name="config_snapshots_total",
+    kind=MetricKind.COUNTER,
+    meaning="Snapshots offered, by what became of them.",
+    labels=("outcome",),
+)
+
+METRICS = (
+    VERSION,
+    HELD_ENTRY,
+    BUFFERED_ENTRIES,
+    ENTRIES,
+    IGNORED_ENTRIES,
+    CONFLICTS,
+    SNAPSHOTS,
+)
--- a/src/balsamtide/config/model.py
+++ b/src/balsamtide/config/model.py
@@ -22,7 +22,7 @@
     "TargetState",
 ]
 
-Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
+Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}\Z")]
 Port = Annotated[int, Meta(ge=1, le=65535)]
 Host = Annotated[str, Meta(min_length=2, max_length=45)]
 
--- /dev/null
+++ b/src/balsamtide/config/patching.py
@@ -0,0 +1,204 @@
+"""Application of RFC 6902 patches to a configuration, in bounded time and memory.
+
+Only the services that a patch names are expanded; all others keep their identity, so
+that tables built from them can be kept too.  Operations are applied one by one by
+jsonpatch; every value that an operation copies, moves or brings is charged to a
+budget first.
+"""
+
+from collections.abc import Sequence
+from enum import Enum
+from re import compile as compile_pattern
+from typing import Any
+
+from jsonpatch import JsonPatch, JsonPatchException, JsonPatchTestFailed
+from jsonpointer import JsonPointer, JsonPointerException
+from msgspec import Struct, ValidationError, convert
+from msgspec.json import decode, encode
+
+from balsamtide.config.entries import EntryFault, measure_value
+from balsamtide.config.model import Configuration, Service
+from balsamtide.protocol.messages import PatchOperation
+
+__all__ = ["MAX_OPERATIONS", "MAX_PATCH_NODES", "PatchError", "PatchFault", "patched"]
+
+MAX_OPERATIONS = 10_000
+MAX_PATCH_NODES = 1_000_000
+MAX_POINTER_TOKENS = 16
+MAX_POINTER_CHARS = 512
+MAX_DOCUMENT_DEPTH = 64
+MAX_INDEX_DIGITS = 9
+VALUE_OPERATIONS = frozenset({"add", "replace", "test"})
+SOURCE_OPERATIONS = frozenset({"move", "copy"})
+OPERATIONS = VALUE_OPERATIONS | SOURCE_OPERATIONS | {"remove"}
+POINTER = compile_pattern(r"(?:/(?:[^/~]|~[01])*)*\Z")
+SERVICES = "services"
+
+Document = Any
+
+
+class PatchFault(Enum):
+    """Why a patch does not apply."""
+
+    MALFORMED = "malformed"
+    TOO_LARGE = "too-large"
+    TEST_FAILED = "test-failed"
+    CONFLICT = "conflict"
+    INVALID = "invalid"
+
+
+class PatchError(ValueError):
+    """A patch that does not apply.
+
+    Parameters
+    ----------
+    fault : PatchFault
+        Class of the fault.
+    detail : str
+        What was found, short.
+    """
+
+    def __init__(self, fault: PatchFault, detail: str) -> None:
+        super().__init__(f"{fault.value}: {detail}")
+        self.fault = fault
+        self.detail = detail
+
+
+def _tokens(pointer: str) -> list[str]:
+    if len(pointer) > MAX_POINTER_CHARS or not POINTER.match(pointer):
+        raise PatchError(PatchFault.MALFORMED, "a path is not a JSON pointer")
+    tokens = pointer.split("/")[1:]
+    if len(tokens) > MAX_POINTER_TOKENS:
+        raise PatchError(PatchFault.TOO_LARGE, "a path has too many parts")
+    if any(token.isdigit() and len(token) > MAX_INDEX_DIGITS for token in tokens):
+        raise PatchError(PatchFault.TOO_LARGE, "an index has too many digits")
+    return [token.replace("~1", "/").replace("~0", "~") for token in tokens]
+
+
+def _pointers(operation: PatchOperation) -> list[str]:
+    if operation.op not in OPERATIONS:
+        raise PatchError(PatchFault.MALFORMED, "an operation is not of RFC 6902")
+    if operation.op not in SOURCE_OPERATIONS:
+        return [operation.path]
+    if operation.source is None:
+        raise PatchError(PatchFault.MALFORMED, f"{operation.op} without from")
+    return [operation.path, operation.source]
+
+
+def _named_services(patch: Sequence[PatchOperation]) -> set[str] | None:
+    """Return the services that ``patch`` names, None if it may concern all."""
+    names = set()
+    is_broad = False
+    for operation in patch:
+        for pointer in _pointers(operation):
+            tokens = _tokens(pointer)
+            if len(tokens) >= 2 and tokens[0] == SERVICES:
+                names.add(tokens[1])
+            else:
+                is_broad = True
+    return None if is_broad else names
+
+
+def _plain_value(value: Struct) -> Document:
+    return decode(encode(value))
+
+
+def _expanded(configuration: Configuration, names: set[str] | None) -> Document:
+    if names is None:
+        return _plain_value(configuration)
+    services: dict[str, object] = dict(configuration.services)
+    for name in names & services.keys():
+        services[name] = _plain_value(configuration.services[name])
+    return {SERVICES: services}
+
+
+class _Budget:
+    """Values that the operations of one patch may still handle."""
+
+    def __init__(self) -> None:
+        self.nodes = MAX_PATCH_NODES
+
+    def charge(self, value: object) -> None:
+        try:
+            extent = measure_value(
+                value, max_nodes=self.nodes, max_depth=MAX_DOCUMENT_DEPTH
+            )
+        except EntryFault as fault:
+            raise PatchError(PatchFault.TOO_LARGE, str(fault)) from fault
+        self.nodes -= extent.nodes
+
+
+def _plain_operation(operation: PatchOperation) -> dict[str, object]:
+    plain: dict[str, object] = {"op": operation.op, "path": operation.path}
+    if operation.op in VALUE_OPERATIONS:
+        plain["value"] = operation.value
+    if operation.op in SOURCE_OPERATIONS:
+        plain["from"] = operation.source
+    return plain
+
+
+def _charged_value(document: Document, operation: PatchOperation) -> object:
+    if operation.op in VALUE_OPERATIONS:
+        return operation.value
+    if operation.source is not None and operation.op in SOURCE_OPERATIONS:
+        return JsonPointer(operation.source).resolve(document)
+    return None
+
+
+def _apply(document: Document, operation: PatchOperation, budget: _Budget) -> Document:
+    where = f"{operation.op} {operation.path}"
+    try:
+        budget.charge(_charged_value(document, operation))
+        return JsonPatch([_plain_operation(operation)]).apply(document, in_place=True)
+    except JsonPatchTestFailed as error:
+        raise PatchError(PatchFault.TEST_FAILED, where) from error
+    except (
+        JsonPatchException,
+        JsonPointerException,
+        LookupError,
+        TypeError,
+        AttributeError,
+    ) as error:
+        raise PatchError(PatchFault.CONFLICT, where) from error
+
+
+def _converted(document: Document) -> Configuration:
+    try:
+        services = document[SERVICES] if isinstance(document, dict) else None
+        if not isinstance(services, dict):
+            return convert(document, Configuration)
+        kept = {
+            name: service
+            for name, service in services.items()
+            if isinstance(service, Service)
+        }
+        plain = {
+            name: service for name, service in services.items() if name not in kept
+        }
+        changed = convert({**document, SERVICES: plain}, Configuration)
+    except (ValidationError, KeyError) as error:
+        raise PatchError(PatchFault.INVALID, str(error)) from error
+    return Configuration(
+        {name: {**kept, **changed.services}[name] for name in services}
+    )
+
+
+def patched(
+    configuration: Configuration, patch: Sequence[PatchOperation]
+) -> Configuration:
+    """Return ``configuration`` after ``patch``, with valid types throughout.
+
+    Raises
+    ------
+    PatchError
+        If the patch is malformed, exceeds a limit, does not apply, or leaves
+        something that is not a configuration.
+    """
+    if len(patch) > MAX_OPERATIONS:
+        detail = f"more than {MAX_OPERATIONS} operations"
+        raise PatchError(PatchFault.TOO_LARGE, detail)
+    document = _expanded(configuration, _named_services(patch))
+    budget = _Budget()
+    for operation in patch:
+        document = _apply(document, operation, budget)
+    return _converted(document)
--- a/src/balsamtide/telemetry/sink.py
+++ b/src/balsamtide/telemetry/sink.py
@@ -30,6 +30,8 @@
         Why.
     actor : str
         Who or what made the change.
+    source : str
+        Who delivered it to this process.
     """
 
     kind: str
@@ -38,6 +40,7 @@
     version: int
     cause: str = ""
     actor: str = ""
+    source: str = ""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- /dev/null
+++ b/tests/fakes_config.py
@@ -0,0 +1,49 @@
+"""Configurations and entries for tests."""
+
+from msgspec import convert
+from msgspec.json import decode, encode
+
+from balsamtide.config.model import Configuration
+from balsamtide.protocol.messages import Entry, PatchOperation
+
+
+def target(number, *, agent_port=None, **members):
+    """Return a target as the platform writes it."""
+    plain = {
+        "number": number,
+        "zone": "zone-a",
+        "host": "10.0.0.1",
+        "port": 8000 + number,
+        "agent_host": "10.0.1.1",
+        "agent_port": agent_port or 9000 + number,
+        "agent_rpc_port": 19000 + number,
+    }
+    return {**plain, **members}
+
+
+def service(number, *, targets=3, **members):
+    """Return a service with some targets as the platform writes it."""
+    plain = {
+        "number": number,
+        "addresses": {"main": {"host": "192.0.2.1", "port": 400 + number}},
+        "targets": {f"t-{i}": target(i) for i in range(1, targets + 1)},
+    }
+    return {**plain, **members}
+
+
+def configuration(**services):
+    """Return a configuration of services as the platform writes them."""
+    return convert(decode(encode({"services": services})), Configuration)
+
+
+def operation(op, path, value=None, source=None):
+    """Return one operation of a patch."""
+    return PatchOperation(op=op, path=path, value=value, source=source)
+
+
+def entry(number, base, *operations, actor="operator"):
+    """Return one entry of the log."""
+    return Entry(number=number, base=base, patch=operations, actor=actor)
+
+
+TWO_SERVICES = configuration(orders=service(1), intake=service(2))
