--- a/src/balsamtide/telemetry/__init__.py
+++ b/src/balsamtide/telemetry/__init__.py
@@ -1,1 +1,25 @@
-"""Telemetry: events, audit trail, metrics, stages of requests."""
+"""Telemetry: events, audit trail, metrics, stages of requests.
+
+`Telemetry` and the admin listener stand in the modules ``telemetry`` and ``admin``,
+which load the libraries for logs, metrics and HTTP; decision classes need neither.
+"""
+
+from balsamtide.telemetry.event import Event, Level, Metric, MetricKind
+from balsamtide.telemetry.memory_sink import MemorySink
+from balsamtide.telemetry.sink import AuditRecord, RequestRecord, Sink
+from balsamtide.telemetry.stages import Stage, StageTimes
+from balsamtide.telemetry.status import Status
+
+__all__ = [
+    "AuditRecord",
+    "Event",
+    "Level",
+    "MemorySink",
+    "Metric",
+    "MetricKind",
+    "RequestRecord",
+    "Sink",
+    "Stage",
+    "StageTimes",
+    "Status",
+]
--- a/src/balsamtide/telemetry/event.py
+++ b/src/balsamtide/telemetry/event.py
@@ -55,6 +55,7 @@
 
     COUNTER = "counter"
     GAUGE = "gauge"
+    HISTOGRAM = "histogram"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -66,7 +67,7 @@
     name : str
         Name with its base unit, without the prefix ``balsamtide_``.
     kind : MetricKind
-        Counter or gauge.
+        Counter, gauge or histogram.
     meaning : str
         What it counts, one sentence.
     labels : tuple of str
--- a/src/balsamtide/telemetry/sink.py
+++ b/src/balsamtide/telemetry/sink.py
@@ -64,6 +64,8 @@
         Seconds by stage.
     attempts : tuple of str
         One line an attempt: ``"target verdict reason"``.
+    balancer_version : int
+        Configuration version by which the balancer routed the flow; 0 if unknown.
     """
 
     request_id: str
@@ -77,6 +79,12 @@
     reason: str = ""
     stages: dict[Stage, float] = field(default_factory=dict)
     attempts: tuple[str, ...] = ()
+    balancer_version: int = 0
+
+    @property
+    def total_s(self) -> float:
+        """Sum over all stages, seconds."""
+        return sum(self.stages.values())
 
 
 class Sink(ABC):
