Add pickers and routing tables that keep unchanged services

Balancers and agents look up targets by connection ID and pick one for the first datagram of a flow. The table is immutable; a rebuild keeps the table of each service whose definition and eligible targets are the same, and pickers are built at their first use. Weighted rendezvous hashing is the default until measured against Maglev.

--- /dev/null
+++ b/src/balsamtide/routing/table.py
@@ -0,0 +1,247 @@
+"""Lookups that the forwarding path needs, precomputed for one configuration."""
+
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass
+from functools import cached_property
+
+from balsamtide.config.model import Configuration, Service, Target, TargetState
+from balsamtide.protocol.connection_id import Destination
+from balsamtide.protocol.messages import Endpoint
+from balsamtide.routing.picker import Candidate, TargetPicker
+from balsamtide.routing.rendezvous import Rendezvous
+
+__all__ = [
+    "PickerFactory",
+    "RoutingTable",
+    "ServiceAddress",
+    "ServiceTable",
+    "TargetRoute",
+    "build_table",
+]
+
+PickerFactory = Callable[[Sequence[Candidate]], TargetPicker]
+Eligibility = Callable[[str, Target], bool]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TargetRoute:
+    """The way to one target.
+
+    Parameters
+    ----------
+    service, target : int
+        Numbers of the service and the target.
+    name : str
+        Name of the target.
+    zone : str
+        Availability zone.
+    agent : Endpoint
+        UDP endpoint of its agent for inner datagrams.
+    rpc : Endpoint
+        TCP endpoint of its agent for grpclib.
+    """
+
+    service: int
+    target: int
+    name: str
+    zone: str
+    agent: Endpoint
+    rpc: Endpoint
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ServiceAddress:
+    """A public address of a service.
+
+    Parameters
+    ----------
+    service : int
+        Number of the service.
+    service_name, name : str
+        Names of the service and of the address.
+    endpoint : Endpoint
+        What callers see.
+    """
+
+    service: int
+    service_name: str
+    name: str
+    endpoint: Endpoint
+
+
+def _route(service: int, name: str, target: Target) -> TargetRoute:
+    return TargetRoute(
+        service=service,
+        target=target.number,
+        name=name,
+        zone=target.zone,
+        agent=Endpoint(target.agent_host, target.agent_port),
+        rpc=Endpoint(target.agent_host, target.agent_rpc_port),
+    )
+
+
+class ServiceTable:
+    """Lookups of one service.
+
+    Parameters
+    ----------
+    name : str
+        Name of the service.
+    service : Service
+        The service.
+    eligible : frozenset of int
+        Numbers of the active targets that may be given new flows.
+    picker : callable
+        Builds the picker, at the first pick.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        service: Service,
+        *,
+        eligible: frozenset[int],
+        picker: PickerFactory,
+    ) -> None:
+        self.name = name
+        self.service = service
+        self.eligible = eligible
+        self.picker_factory = picker
+        self.routes: Mapping[int, TargetRoute] = {
+            target.number: _route(service.number, target_name, target)
+            for target_name, target in service.targets.items()
+            if target.state is not TargetState.DISABLED
+        }
+        self.addresses = tuple(
+            ServiceAddress(
+                service=service.number,
+                service_name=name,
+                name=address_name,
+                endpoint=Endpoint(address.host, address.port),
+            )
+            for address_name, address in service.addresses.items()
+        )
+
+    @cached_property
+    def picker(self) -> TargetPicker | None:
+        """The picker among eligible targets, or all active ones if none is."""
+        active = [
+            Candidate(target.number, target.weight)
+            for target in self.service.targets.values()
+            if target.state is TargetState.ACTIVE
+        ]
+        eligible = [item for item in active if item.number in self.eligible]
+        candidates = eligible or active
+        return self.picker_factory(candidates) if candidates else None
+
+    def pick(self, key: bytes) -> TargetRoute | None:
+        """Return the target for a new flow, None if no target is active."""
+        picker = self.picker
+        return None if picker is None else self.routes[picker.pick(key)]
+
+
+class RoutingTable:
+    """All lookups for one configuration and one view of liveness; immutable.
+
+    Parameters
+    ----------
+    version : int
+        Version of the configuration.
+    services : mapping of str to ServiceTable
+        Tables of the services by name.
+    """
+
+    def __init__(self, version: int, services: Mapping[str, ServiceTable]) -> None:
+        self.version = version
+        self.services = services
+        self.by_number = {
+            table.service.number: table for table in self.services.values()
+        }
+
+    def pick(self, service: int, key: bytes) -> TargetRoute | None:
+        """Return the target for the first datagram of a flow.
+
+        Parameters
+        ----------
+        service : int
+            Service number.
+        key : bytes
+            What is the same in all first datagrams of the flow.
+
+        Returns
+        -------
+        TargetRoute or None
+            An active and eligible target, any active one where none is eligible,
+            None where none is active.
+        """
+        table = self.by_number.get(service)
+        return None if table is None else table.pick(key)
+
+    def find(self, destination: Destination) -> TargetRoute | None:
+        """Return the target that a connection ID names, unless it is disabled."""
+        table = self.by_number.get(destination.service)
+        return None if table is None else table.routes.get(destination.target)
+
+    def address_of(self, service: str, address: str) -> ServiceAddress | None:
+        """Return an address by the names of service and address."""
+        table = self.services.get(service)
+        if table is None:
+            return None
+        for candidate in table.addresses:
+            if candidate.name == address:
+                return candidate
+        return None
+
+    @property
+    def addresses(self) -> tuple[ServiceAddress, ...]:
+        """All addresses of all services."""
+        return tuple(
+            address for table in self.services.values() for address in table.addresses
+        )
+
+
+def _eligible(service: Service, is_eligible: Eligibility) -> frozenset[int]:
+    return frozenset(
+        target.number
+        for name, target in service.targets.items()
+        if target.state is TargetState.ACTIVE and is_eligible(name, target)
+    )
+
+
+def build_table(
+    configuration: Configuration,
+    *,
+    version: int,
+    is_eligible: Eligibility,
+    previous: RoutingTable | None = None,
+    picker: PickerFactory = Rendezvous,
+) -> RoutingTable:
+    """Return the table for ``configuration``.
+
+    Parameters
+    ----------
+    configuration : Configuration
+        The configuration in force.
+    version : int
+        Its version.
+    is_eligible : callable
+        Whether a target, given by its name and definition, may get new flows.
+    previous : RoutingTable or None
+        A table whose unchanged parts are kept.
+    picker : callable
+        Builds the picker of a service.
+    """
+    kept = {} if previous is None else previous.services
+    services = {}
+    for name, service in configuration.services.items():
+        eligible = _eligible(service, is_eligible)
+        table = kept.get(name)
+        if (
+            table is None
+            or table.service is not service
+            or table.eligible != eligible
+            or table.picker_factory is not picker
+        ):
+            table = ServiceTable(name, service, eligible=eligible, picker=picker)
+        services[name] = table
+    return RoutingTable(version, services)
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,198 @@
+"""Tests of pickers and routing tables."""
+
+from collections import Counter
+from random import Random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from balsamtide.config.judge import judge
+from balsamtide.protocol.connection_id import Destination
+from balsamtide.protocol.messages import Endpoint
+from balsamtide.routing.maglev import Maglev
+from balsamtide.routing.picker import Candidate
+from balsamtide.routing.rendezvous import Rendezvous
+from balsamtide.routing.table import build_table
+from tests.fakes_config import TWO_SERVICES, configuration, entry, operation
+from tests.fakes_config import service as plain_service
+from tests.fakes_config import target as plain_target
+
+PICKERS = pytest.mark.parametrize("picker", [Rendezvous, Maglev])
+RANDOM = Random(7)
+KEYS = [RANDOM.randbytes(8) for _ in range(4000)]
+CANDIDATES = st.lists(
+    st.builds(Candidate, number=st.integers(1, 2**32 - 1), weight=st.integers(1, 1000)),
+    min_size=1,
+    max_size=12,
+    unique_by=lambda candidate: candidate.number,
+)
+
+
+@PICKERS
+@given(CANDIDATES, st.binary(max_size=20), st.randoms(use_true_random=False))
+def test_pick_is_the_same_in_any_order(picker, candidates, key, random):
+    """Pickers from the same candidates in another order agree."""
+    picked = picker(candidates).pick(key)
+    assert picked in {candidate.number for candidate in candidates}
+    shuffled = random.sample(candidates, len(candidates))
+    assert picker(shuffled).pick(key) == picked
+
+
+@PICKERS
+def test_no_candidates_is_an_error(picker):
+    """A picker needs at least one candidate."""
+    with pytest.raises(ValueError, match="no candidates"):
+        picker([])
+
+
+def test_maglev_refuses_more_candidates_than_slots():
+    """A table too small for its candidates is an error."""
+    with pytest.raises(ValueError, match="7 candidates for 7 slots"):
+        Maglev([Candidate(number, 1) for number in range(7)], slots=7)
+
+
+@PICKERS
+@pytest.mark.parametrize("weights", [(100,) * 9, (100, 200, 300, 400), (1, 1000)])
+def test_share_follows_weight(picker, weights):
+    """Each candidate gets its share of keys, within four standard deviations."""
+    chosen = picker([Candidate(i, weight) for i, weight in enumerate(weights)])
+    counts = Counter(chosen.pick(key) for key in KEYS)
+    for number, weight in enumerate(weights):
+        share = weight / sum(weights)
+        deviation = (len(KEYS) * share * (1 - share)) ** 0.5
+        assert abs(counts[number] - len(KEYS) * share) <= 4 * deviation + 4
+
+
+@given(CANDIDATES, st.data())
+def test_rendezvous_moves_only_keys_of_the_lost_candidate(candidates, data):
+    """Without one candidate, keys of all others stay where they were."""
+    lost = data.draw(st.sampled_from(candidates))
+    rest = [candidate for candidate in candidates if candidate is not lost]
+    if not rest:
+        return
+    before, after = Rendezvous(candidates), Rendezvous(rest)
+    for key in KEYS[:50]:
+        picked = before.pick(key)
+        assert picked == lost.number or after.pick(key) == picked
+
+
+@pytest.mark.parametrize(("picker", "limit"), [(Rendezvous, 0.0), (Maglev, 0.06)])
+def test_disruption_among_survivors_is_small(picker, limit):
+    """Losing one of nine candidates moves few keys among the other eight."""
+    nine = [Candidate(number, 100) for number in range(9)]
+    before, after = picker(nine), picker(nine[1:])
+    moved = sum(
+        before.pick(key) != 0 and before.pick(key) != after.pick(key) for key in KEYS
+    )
+    assert moved <= limit * len(KEYS)
+
+
+def always(name, target):
+    """Call every target eligible."""
+    return True
+
+
+STATES = configuration(
+    orders=plain_service(
+        1,
+        targets=0,
+    )
+    | {
+        "targets": {
+            "t-1": plain_target(1),
+            "t-2": plain_target(2, state="draining"),
+            "t-3": plain_target(3, state="disabled"),
+            "t-4": plain_target(4, zone="zone-b"),
+        }
+    }
+)
+
+
+@pytest.mark.parametrize(
+    ("is_eligible", "numbers"),
+    [
+        (always, {1, 4}),
+        (lambda name, target: name == "t-4", {4}),
+        (lambda name, target: target.zone == "zone-a", {1}),
+        (lambda name, target: False, {1, 4}),
+        (lambda name, target: target.number == 2, {1, 4}),
+    ],
+)
+def test_new_flows_go_to_active_and_eligible_targets(is_eligible, numbers):
+    """A pick is active and eligible, or active where no active one is eligible."""
+    table = build_table(STATES, version=3, is_eligible=is_eligible)
+    picked = {table.pick(1, key).target for key in KEYS[:200]}
+    assert picked == numbers
+
+
+@pytest.mark.parametrize(
+    ("destination", "name"),
+    [
+        (Destination(1, 1), "t-1"),
+        (Destination(1, 2), "t-2"),
+        (Destination(1, 3), None),
+        (Destination(1, 9), None),
+        (Destination(2, 1), None),
+    ],
+)
+def test_connection_id_finds_targets_that_are_not_disabled(destination, name):
+    """A connection ID leads to an active or draining target of its service only."""
+    table = build_table(STATES, version=3, is_eligible=always)
+    route = table.find(destination)
+    assert (None if route is None else route.name) == name
+
+
+def test_route_names_the_agent():
+    """A route has the numbers, the zone and both endpoints of the agent."""
+    table = build_table(STATES, version=3, is_eligible=always)
+    route = table.find(Destination(1, 4))
+    assert (route.service, route.target, route.zone) == (1, 4, "zone-b")
+    assert route.agent == Endpoint("10.0.1.1", 9004)
+    assert route.rpc == Endpoint("10.0.1.1", 19004)
+
+
+@pytest.mark.parametrize(
+    ("names", "endpoint"),
+    [
+        (("orders", "main"), Endpoint("192.0.2.1", 401)),
+        (("intake", "main"), Endpoint("192.0.2.1", 402)),
+        (("orders", "other"), None),
+        (("none", "main"), None),
+    ],
+)
+def test_address_is_found_by_names(names, endpoint):
+    """An address is found by the names of its service and its own."""
+    table = build_table(TWO_SERVICES, version=1, is_eligible=always)
+    address = table.address_of(*names)
+    assert (None if address is None else address.endpoint) == endpoint
+
+
+@pytest.mark.parametrize(
+    "empty", [configuration(orders=plain_service(1, targets=0)), configuration()]
+)
+def test_service_without_targets_has_no_route(empty):
+    """Where no target is active, and where there is no service, nothing is picked."""
+    table = build_table(empty, version=1, is_eligible=always)
+    assert table.pick(1, b"key") is None
+    assert len(table.addresses) == len(empty.services)
+
+
+def test_unchanged_services_keep_their_tables():
+    """A rebuild keeps the table of each service that did not change."""
+    first = build_table(TWO_SERVICES, version=1, is_eligible=always)
+    path = "/services/orders/targets/t-1/state"
+    drain = entry(2, 1, operation("add", path, "draining"))
+    changed = judge(TWO_SERVICES, 1, drain).configuration
+    second = build_table(changed, version=2, is_eligible=always, previous=first)
+    assert second.services["intake"] is first.services["intake"]
+    assert second.services["orders"] is not first.services["orders"]
+    assert second.version == 2
+    assert {second.pick(1, key).target for key in KEYS[:200]} == {2, 3}
+    third = build_table(
+        changed,
+        version=2,
+        is_eligible=lambda name, target: target.number != 3,
+        previous=second,
+    )
+    assert {third.pick(1, key).target for key in KEYS[:200]} == {2}
