--- a/src/balsamtide/admission/policy.py
+++ b/src/balsamtide/admission/policy.py
@@ -4,6 +4,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+from balsamtide.protocol.messages import LoadReport
 from balsamtide.requests.model import Outcome, Refusal, RequestFacts
 
 __all__ = ["AdmissionPolicy", "Refused", "Start", "Transfer"]
@@ -85,6 +86,10 @@
     def use_grant(self, request_id: str, now: float) -> bool:
         """Turn a reservation into a start; False if it has expired."""
 
+    def receive(self, report: LoadReport, now: float) -> Sequence[Decision]:
+        """Take what a peer reported of its load; a policy may ignore it."""
+        return ()
+
     @abstractmethod
     def tick(self, now: float) -> Sequence[Decision]:
         """Do what is due at ``now``."""
--- /dev/null
+++ b/src/balsamtide/agent/flow.py
@@ -0,0 +1,53 @@
+"""One flow of a caller: its QUIC connection, HTTP/3 state and way back."""
+
+from dataclasses import dataclass, field
+
+from balsamtide.agent.connection import AgentH3Connection, RoutableConnection
+from balsamtide.agent.return_path import ReturnPath
+from balsamtide.protocol.messages import Endpoint
+
+__all__ = ["Flow"]
+
+
+@dataclass(slots=True, kw_only=True)
+class Flow:
+    """State of one flow; owned by the flow engine.
+
+    Parameters
+    ----------
+    number : int
+        Number of the flow at this agent.
+    connection : RoutableConnection
+        Its QUIC connection.
+    caller : Endpoint
+        The caller.
+    address : str
+        Name of the service address the caller used.
+    return_path : ReturnPath
+        Its way back.
+    opened_at : float
+        When its first datagram came, seconds.
+    steered : bool
+        Whether a peer steered it here.
+    """
+
+    number: int
+    connection: RoutableConnection
+    caller: Endpoint
+    address: str
+    return_path: ReturnPath
+    opened_at: float
+    steered: bool
+    h3: AgentH3Connection | None = None
+    is_handshake_done: bool = False
+    handshake_s: float = 0.0
+    inner_s: float = 0.0
+    ids: set[bytes] = field(default_factory=set)
+    open_streams: set[int] = field(default_factory=set)
+    waiting_streams: dict[int, float] = field(default_factory=dict)
+    next_stream: int = 0
+    went_away: bool = False
+    timer_at: float | None = None
+    last_heard: float = 0.0
+    losing_since: float | None = None
+    lost_s: float = 0.0
--- /dev/null
+++ b/src/balsamtide/agent/flow_engine.py
@@ -0,0 +1,556 @@
+"""All flows of an agent, without sockets, clocks or tasks.
+
+The owner feeds inner datagrams and commands, calls ``flush`` after each batch and
+sends what it returns.  Timers are kept in a heap whose stale items are skipped.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from heapq import heappop, heappush
+from math import inf
+
+from aioquic.h3.connection import H3_ALPN, ErrorCode
+from aioquic.h3.events import DataReceived, H3Event, HeadersReceived
+from aioquic.quic.configuration import SMALLEST_MAX_DATAGRAM_SIZE, QuicConfiguration
+from aioquic.quic.events import (
+    ConnectionIdIssued,
+    ConnectionIdRetired,
+    ConnectionTerminated,
+    HandshakeCompleted,
+    ProtocolNegotiated,
+    QuicEvent,
+    StopSendingReceived,
+    StreamReset,
+)
+
+from balsamtide.agent.address_validation import AddressValidation
+from balsamtide.agent.connection import (
+    STREAM_WINDOW_BYTES,
+    AgentH3Connection,
+    RoutableConnection,
+    reset_token,
+)
+from balsamtide.agent.events import FLOW_REFUSED
+from balsamtide.agent.flow import Flow
+from balsamtide.agent.flow_events import (
+    AnswerDrained,
+    BodyReceived,
+    FlowClosed,
+    FlowEvent,
+    RequestCancelled,
+    RequestOpened,
+    StreamKey,
+)
+from balsamtide.agent.metrics import (
+    DATAGRAMS_DROPPED,
+    DATAGRAMS_STEERED,
+    FLOWS_CLOSED,
+    FLOWS_OPENED,
+)
+from balsamtide.agent.return_path import BalancerLeases, ReturnPath
+from balsamtide.agent.steering import Steering
+from balsamtide.protocol.actions import Send
+from balsamtide.protocol.connection_id import ConnectionIdCodec, Destination
+from balsamtide.protocol.errors import DecodeError
+from balsamtide.protocol.messages import Endpoint, Forward, Reply
+from balsamtide.protocol.quic_header import (
+    PacketHeader,
+    PacketKind,
+    read_packet_header,
+)
+from balsamtide.requests.runner import Header
+from balsamtide.telemetry.sink import Sink
+
+__all__ = ["FlowEngine", "FlowLimits", "make_quic_configuration"]
+
+LOW_WATER_BYTES = 64 * 1024
+IDLE_TIMEOUT_S = 60.0
+RESET_BYTES = 41
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FlowLimits:
+    """Bounds of the engine.
+
+    Parameters
+    ----------
+    flows : int
+        Open flows.
+    handshakes : int
+        Handshakes in progress; above it, first datagrams are dropped or steered.
+    validated_handshakes : int
+        Handshakes in progress from which on callers must prove their address.
+    """
+
+    flows: int = 2000
+    handshakes: int = 200
+    validated_handshakes: int = 32
+
+
+def make_quic_configuration() -> QuicConfiguration:
+    """Return the configuration of an agent's connections, without certificate."""
+    return QuicConfiguration(
+        is_client=False,
+        alpn_protocols=H3_ALPN,
+        connection_id_length=17,
+        idle_timeout=IDLE_TIMEOUT_S,
+        max_stream_data=STREAM_WINDOW_BYTES,
+    )
+
+
+class FlowEngine:
+    """Ends the flows of callers at one agent.
+
+    Parameters
+    ----------
+    own : Destination
+        Service and target of the agent.
+    service : int
+        Number of the service.
+    configuration : QuicConfiguration
+        With certificate and key.
+    ids : ConnectionIdCodec
+        Issues connection IDs.
+    reset_key : bytes
+        Key of stateless reset tokens.
+    limits : FlowLimits
+        Bounds.
+    steering : Steering
+        Where first datagrams go that are not taken here.
+    leases : BalancerLeases
+        What the agent heard of balancers.
+    sink : Sink
+        Where events and counts go.
+    """
+
+    def __init__(
+        self,
+        *,
+        own: Destination,
+        configuration: QuicConfiguration,
+        ids: ConnectionIdCodec,
+        reset_key: bytes,
+        limits: FlowLimits,
+        steering: Steering,
+        leases: BalancerLeases,
+        sink: Sink,
+    ) -> None:
+        self.own = own
+        self.configuration = configuration
+        self.ids = ids
+        self.reset_key = reset_key
+        self.limits = limits
+        self.steering = steering
+        self.leases = leases
+        self.sink = sink
+        self.validation = AddressValidation(issue_id=self.issue_id)
+        self.flows: dict[int, Flow] = {}
+        self.by_id: dict[bytes, Flow] = {}
+        self.handshakes = 0
+        self.last_number = 0
+        self.timers: list[tuple[float, int]] = []
+        self.dirty: dict[int, Flow] = {}
+        self.events: list[FlowEvent] = []
+        self.outgoing: list[Send] = []
+        self.is_draining = False
+
+    def issue_id(self) -> bytes:
+        """Return a fresh connection ID of this agent."""
+        return self.ids.issue(self.own)
+
+    # Input
+
+    def receive(self, forward: Forward, now: float) -> None:
+        """Take one datagram of a caller."""
+        if forward.hops == 0:
+            self.leases.heard(forward.reply_to, now)
+        if forward.service != self.own.service:
+            self._drop("wrong-service", forward)
+            return
+        try:
+            header = read_packet_header(forward.payload)
+        except DecodeError as error:
+            self._drop(error.fault.value, forward)
+            return
+        flow = self.by_id.get(header.destination_id)
+        if flow is not None:
+            self._feed(flow, forward, now)
+            return
+        self._receive_unknown(header, forward, now)
+
+    def _receive_unknown(
+        self, header: PacketHeader, forward: Forward, now: float
+    ) -> None:
+        destination = self.ids.read(header.destination_id)
+        if destination is not None and destination != self.own:
+            self._drop("wrong-target", forward)
+            return
+        if header.kind is PacketKind.SHORT and destination is not None:
+            self._send_reset(header.destination_id, forward)
+            return
+        if header.kind is not PacketKind.INITIAL:
+            self._drop("unknown-flow", forward)
+            return
+        if len(forward.payload) < SMALLEST_MAX_DATAGRAM_SIZE:
+            self._drop("short-initial", forward)
+            return
+        self._open(header.destination_id, forward, now)
+
+    def _open(self, first_id: bytes, forward: Forward, now: float) -> None:
+        peer = self._peer_for(first_id, forward, now)
+        if peer is not None:
+            self.sink.count(DATAGRAMS_STEERED)
+            self.outgoing.append(Send(peer, _steered(forward)))
+            return
+        if len(self.flows) >= self.limits.flows or self.is_draining:
+            self._drop("full", forward)
+            return
+        if self.handshakes >= self.limits.handshakes:
+            self._drop("handshakes", forward)
+            return
+        must_validate = self.handshakes >= self.limits.validated_handshakes
+        check = self.validation.check(
+            forward.payload, forward.caller, now, must_validate=must_validate
+        )
+        if check.answer is not None:
+            self._reply(forward, check.answer)
+            return
+        if check.original_id is None:
+            self._drop("not-validated", forward)
+            return
+        flow = self._add_flow(forward, now, check.original_id, check.retry_id)
+        self._register(flow, first_id)
+        self._register(flow, flow.connection.host_cid)
+        self._feed(flow, forward, now)
+
+    def _peer_for(
+        self, first_id: bytes, forward: Forward, now: float
+    ) -> Endpoint | None:
+        if forward.hops > 0:
+            return None
+        is_full = (
+            len(self.flows) >= self.limits.flows
+            or self.handshakes >= self.limits.handshakes
+        )
+        return self.steering.choose(
+            first_id, now, is_full=is_full, is_draining=self.is_draining
+        )
+
+    def _add_flow(
+        self,
+        forward: Forward,
+        now: float,
+        original_id: bytes,
+        retry_id: bytes | None,
+    ) -> Flow:
+        self.last_number += 1
+        connection = RoutableConnection(
+            configuration=self.configuration,
+            issue_id=self.issue_id,
+            reset_key=self.reset_key,
+            original_id=original_id,
+            retry_id=retry_id,
+        )
+        flow = Flow(
+            number=self.last_number,
+            connection=connection,
+            caller=forward.caller,
+            address=forward.address,
+            return_path=ReturnPath(forward.reply_to),
+            opened_at=now,
+            steered=forward.hops > 0,
+        )
+        self.flows[flow.number] = flow
+        self.handshakes += 1
+        return flow
+
+    def _register(self, flow: Flow, connection_id: bytes) -> None:
+        self.by_id[connection_id] = flow
+        flow.ids.add(connection_id)
+
+    def _feed(self, flow: Flow, forward: Forward, now: float) -> None:
+        flow.return_path.balancer = forward.reply_to
+        flow.inner_s = forward.elapsed_us / 1e6
+        flow.last_heard = now
+        source = (forward.caller.host, forward.caller.port)
+        flow.connection.receive_datagram(forward.payload, source, now)
+        self.dirty[flow.number] = flow
+
+    def tick(self, now: float) -> None:
+        """Handle the timers that are due."""
+        while self.timers and self.timers[0][0] <= now:
+            due, number = heappop(self.timers)
+            flow = self.flows.get(number)
+            if flow is None or flow.timer_at != due:
+                continue
+            flow.timer_at = None
+            flow.connection.handle_timer(now)
+            self.dirty[number] = flow
+
+    @property
+    def deadline(self) -> float:
+        """Time of the next timer, infinite if there is none."""
+        return self.timers[0][0] if self.timers else inf
+
+    # Commands
+
+    def start_answer(
+        self, key: StreamKey, headers: tuple[Header, ...], *, is_ended: bool
+    ) -> bool:
+        """Send the status and headers of an answer; False if the stream is gone."""
+        return self._send(
+            key, lambda h3: h3.send_headers(key.stream, list(headers), is_ended)
+        )
+
+    def write_answer(self, key: StreamKey, data: bytes, *, is_ended: bool) -> bool:
+        """Send a part of an answer; False if the stream is gone."""
+        return self._send(key, lambda h3: h3.send_data(key.stream, data, is_ended))
+
+    def _send(
+        self, key: StreamKey, command: Callable[[AgentH3Connection], None]
+    ) -> bool:
+        flow = self.flows.get(key.flow)
+        if flow is None or key.stream not in flow.open_streams or flow.h3 is None:
+            return False
+        command(flow.h3)
+        self.dirty[key.flow] = flow
+        return True
+
+    def unsent_bytes(self, key: StreamKey) -> int:
+        """Return the octets of an answer that wait for the caller."""
+        flow = self.flows.get(key.flow)
+        return flow.connection.unsent_bytes(key.stream) if flow else 0
+
+    def await_drained(self, key: StreamKey, now: float) -> None:
+        """Report ``AnswerDrained`` once the stream holds little unsent data."""
+        flow = self.flows.get(key.flow)
+        if flow is not None and key.stream in flow.open_streams:
+            flow.waiting_streams[key.stream] = flow.lost_s
+            self.dirty[key.flow] = flow
+
+    def abort(self, key: StreamKey) -> None:
+        """End a stream whose answer can't be completed."""
+        flow = self.flows.get(key.flow)
+        if flow is None or key.stream not in flow.open_streams:
+            return
+        flow.connection.reset_stream(key.stream, ErrorCode.H3_INTERNAL_ERROR)
+        self.dirty[key.flow] = flow
+
+    def finish(self, key: StreamKey) -> None:
+        """Forget a request whose answer was handed over or aborted."""
+        flow = self.flows.get(key.flow)
+        if flow is None:
+            return
+        flow.open_streams.discard(key.stream)
+        flow.waiting_streams.pop(key.stream, None)
+        flow.connection.held_streams.discard(key.stream)
+        self.dirty[key.flow] = flow
+
+    def hold_body(self, key: StreamKey, *, is_held: bool) -> None:
+        """Stop or resume raising the caller's limit for a request body."""
+        flow = self.flows.get(key.flow)
+        if flow is None:
+            return
+        held = flow.connection.held_streams
+        if is_held:
+            held.add(key.stream)
+        elif key.stream in held:
+            held.discard(key.stream)
+            flow.connection.send_ping(key.stream)
+            self.dirty[key.flow] = flow
+
+    def drain(self) -> None:
+        """Take no new flows, and ask callers to open none of their requests here."""
+        self.is_draining = True
+        for flow in self.flows.values():
+            self._go_away(flow)
+
+    def _go_away(self, flow: Flow) -> None:
+        if flow.h3 is None or flow.went_away:
+            return
+        flow.went_away = True
+        flow.h3.send_goaway(flow.next_stream)
+        self.dirty[flow.number] = flow
+
+    def close_idle(self, now: float, *, idle_s: float) -> None:
+        """While draining, close flows that have no request and were told so."""
+        for flow in self.flows.values():
+            quiet = now - flow.last_heard > idle_s
+            if flow.went_away and not flow.open_streams and quiet:
+                flow.connection.close(error_code=ErrorCode.H3_NO_ERROR)
+                self.dirty[flow.number] = flow
+
+    def close_all(self) -> None:
+        """Close every flow, at the end of the drain deadline."""
+        for flow in self.flows.values():
+            flow.connection.close(error_code=ErrorCode.H3_NO_ERROR)
+            self.dirty[flow.number] = flow
+
+    # Output
+
+    def flush(self, now: float) -> tuple[list[FlowEvent], list[Send]]:
+        """Return what happened and what to send since the last call."""
+        dirty = self.dirty
+        self.dirty = {}
+        for flow in dirty.values():
+            self._pump(flow, now)
+        events, self.events = self.events, []
+        outgoing, self.outgoing = self.outgoing, []
+        return events, outgoing
+
+    def _pump(self, flow: Flow, now: float) -> None:
+        connection = flow.connection
+        event = connection.next_event()
+        while event is not None:
+            self._handle(flow, event, now)
+            event = connection.next_event()
+        self._send_datagrams(flow, now)
+        self._report_drained(flow)
+        if flow.number in self.flows:
+            self._set_timer(flow)
+
+    def _send_datagrams(self, flow: Flow, now: float) -> None:
+        datagrams = flow.connection.datagrams_to_send(now)
+        if not datagrams:
+            return
+        is_losing = flow.connection.lost_packets > 0
+        self._track_loss(flow, now, is_losing=is_losing)
+        balancer = flow.return_path.choose(self.leases, now, is_losing=is_losing)
+        for data, _ in datagrams:
+            reply = Reply(flow.caller, self.own.service, flow.address, data)
+            self.outgoing.append(Send(balancer, reply))
+
+    @staticmethod
+    def _track_loss(flow: Flow, now: float, *, is_losing: bool) -> None:
+        if is_losing and flow.losing_since is None:
+            flow.losing_since = now
+        elif not is_losing and flow.losing_since is not None:
+            flow.lost_s += now - flow.losing_since
+            flow.losing_since = None
+
+    def _report_drained(self, flow: Flow) -> None:
+        if not flow.waiting_streams:
+            return
+        for stream, lost_before in list(flow.waiting_streams.items()):
+            if flow.connection.unsent_bytes(stream) <= LOW_WATER_BYTES:
+                del flow.waiting_streams[stream]
+                key = StreamKey(flow.number, stream)
+                self.events.append(AnswerDrained(key, flow.lost_s - lost_before))
+
+    def _set_timer(self, flow: Flow) -> None:
+        due = flow.connection.get_timer()
+        if due is not None and due != flow.timer_at:
+            flow.timer_at = due
+            heappush(self.timers, (due, flow.number))
+
+    # Events of QUIC and HTTP/3
+
+    def _handle(self, flow: Flow, event: QuicEvent, now: float) -> None:
+        if isinstance(event, ConnectionIdIssued):
+            self._register(flow, event.connection_id)
+        elif isinstance(event, ConnectionIdRetired):
+            self.by_id.pop(event.connection_id, None)
+            flow.ids.discard(event.connection_id)
+        elif isinstance(event, HandshakeCompleted):
+            self._finish_handshake(flow, now)
+        elif isinstance(event, ConnectionTerminated):
+            self._close(flow, event)
+            return
+        elif isinstance(event, StreamReset | StopSendingReceived):
+            self._cancel(flow, event.stream_id)
+        elif isinstance(event, ProtocolNegotiated):
+            flow.h3 = AgentH3Connection(flow.connection)
+            if self.is_draining:
+                self._go_away(flow)
+        if flow.h3 is not None:
+            for h3_event in flow.h3.handle_event(event):
+                self._handle_h3(flow, h3_event)
+
+    def _finish_handshake(self, flow: Flow, now: float) -> None:
+        flow.is_handshake_done = True
+        flow.handshake_s = now - flow.opened_at
+        self.handshakes -= 1
+        self.sink.count(FLOWS_OPENED)
+
+    def _close(self, flow: Flow, event: ConnectionTerminated) -> None:
+        if self.flows.pop(flow.number, None) is None:
+            return
+        for connection_id in flow.ids:
+            self.by_id.pop(connection_id, None)
+        if not flow.is_handshake_done:
+            self.handshakes -= 1
+        cause = "caller" if event.error_code in (0, ErrorCode.H3_NO_ERROR) else "error"
+        self.sink.count(FLOWS_CLOSED, cause=cause)
+        self.events.append(FlowClosed(flow.number))
+
+    def _cancel(self, flow: Flow, stream: int) -> None:
+        if stream in flow.open_streams:
+            self.events.append(RequestCancelled(StreamKey(flow.number, stream)))
+
+    def _handle_h3(self, flow: Flow, event: H3Event) -> None:
+        if isinstance(event, HeadersReceived):
+            self._open_request(flow, event)
+        elif isinstance(event, DataReceived) and event.stream_id in flow.open_streams:
+            key = StreamKey(flow.number, event.stream_id)
+            self.events.append(BodyReceived(key, event.data, event.stream_ended))
+
+    def _open_request(self, flow: Flow, event: HeadersReceived) -> None:
+        key = StreamKey(flow.number, event.stream_id)
+        if not any(name == b":method" for name, _ in event.headers):
+            # Trailers; they end the body and carry nothing we use.
+            if event.stream_id in flow.open_streams:
+                self.events.append(BodyReceived(key, b"", event.stream_ended))
+            return
+        if flow.went_away and event.stream_id >= flow.next_stream:
+            # The caller was told that these do not run, so they must not.
+            flow.connection.reset_stream(event.stream_id, ErrorCode.H3_REQUEST_REJECTED)
+            return
+        flow.next_stream = max(flow.next_stream, event.stream_id + 4)
+        flow.open_streams.add(event.stream_id)
+        handshake_s, flow.handshake_s = flow.handshake_s, 0.0
+        self.events.append(
+            RequestOpened(
+                key=key,
+                caller=flow.caller,
+                headers=tuple(event.headers),
+                is_ended=event.stream_ended,
+                inner_s=flow.inner_s,
+                round_trip_s=flow.connection.round_trip_s,
+                handshake_s=handshake_s,
+                steered=flow.steered,
+            )
+        )
+
+    # Datagrams that belong to no flow
+
+    def _reply(self, forward: Forward, payload: bytes) -> None:
+        reply = Reply(forward.caller, self.own.service, forward.address, payload)
+        self.outgoing.append(Send(forward.reply_to, reply))
+
+    def _send_reset(self, connection_id: bytes, forward: Forward) -> None:
+        self._drop("reset", forward)
+        if len(forward.payload) <= RESET_BYTES:
+            # A reset is shorter than its cause, so two ends can't reset for ever.
+            return
+        filler = self.ids.random(RESET_BYTES - 16)
+        first = bytes(((filler[0] & 0x3F) | 0x40,))
+        token = reset_token(self.reset_key, connection_id)
+        self._reply(forward, first + filler[1:] + token)
+
+    def _drop(self, reason: str, forward: Forward) -> None:
+        self.sink.count(DATAGRAMS_DROPPED, reason=reason)
+        source = f"{forward.caller.host}:{forward.caller.port}"
+        self.sink.event(FLOW_REFUSED, reason=reason, source=source)
+
+
+def _steered(forward: Forward) -> Forward:
+    return Forward(
+        forward.caller,
+        forward.service,
+        forward.address,
+        forward.version,
+        forward.hops + 1,
+        forward.elapsed_us,
+        forward.reply_to,
+        forward.payload,
+    )
--- /dev/null
+++ b/src/balsamtide/agent/flow_task.py
@@ -0,0 +1,269 @@
+"""The task that owns the flow engine."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from trio import Event, WouldBlock, current_time, move_on_at, open_memory_channel
+
+from balsamtide.agent.flow_engine import FlowEngine
+from balsamtide.agent.flow_events import (
+    AnswerDrained,
+    BodyReceived,
+    FlowClosed,
+    FlowEvent,
+    RequestCancelled,
+    RequestOpened,
+    StreamKey,
+)
+from balsamtide.agent.metrics import DATAGRAMS_DROPPED
+from balsamtide.agent.request_stream import RequestStream
+from balsamtide.protocol.actions import Send
+from balsamtide.protocol.messages import Forward
+from balsamtide.requests.runner import Header
+from balsamtide.telemetry.sink import Sink
+
+__all__ = ["FlowTask"]
+
+QUEUE_ITEMS = 8192
+BATCH_ITEMS = 256
+TIMER_STEP_S = 0.001
+
+
+class Command(Protocol):
+    """Something to do on the engine."""
+
+    def apply(self, engine: FlowEngine, now: float) -> None:
+        """Do it."""
+
+
+@dataclass(frozen=True, slots=True)
+class StartAnswer:
+    """Send the head of an answer."""
+
+    key: StreamKey
+    headers: tuple[Header, ...]
+    is_ended: bool
+
+    def apply(self, engine: FlowEngine, now: float) -> None:
+        """Do it."""
+        engine.start_answer(self.key, self.headers, is_ended=self.is_ended)
+
+
+@dataclass(frozen=True, slots=True)
+class WriteAnswer:
+    """Send a part of an answer and report when there is room again."""
+
+    key: StreamKey
+    data: bytes
+    is_ended: bool
+
+    def apply(self, engine: FlowEngine, now: float) -> None:
+        """Do it."""
+        engine.write_answer(self.key, self.data, is_ended=self.is_ended)
+        if not self.is_ended:
+            engine.await_drained(self.key, now)
+
+
+@dataclass(frozen=True, slots=True)
+class FinishRequest:
+    """Forget a request; abort its stream if the answer is not whole."""
+
+    key: StreamKey
+    is_aborted: bool
+
+    def apply(self, engine: FlowEngine, now: float) -> None:
+        """Do it."""
+        if self.is_aborted:
+            engine.abort(self.key)
+        engine.finish(self.key)
+
+
+@dataclass(frozen=True, slots=True)
+class ResumeBody:
+    """Let the caller send more of a request's body."""
+
+    key: StreamKey
+
+    def apply(self, engine: FlowEngine, now: float) -> None:
+        """Do it."""
+        engine.hold_body(self.key, is_held=False)
+
+
+@dataclass(frozen=True, slots=True)
+class Drain:
+    """Take no new flows."""
+
+    def apply(self, engine: FlowEngine, now: float) -> None:
+        """Do it."""
+        engine.drain()
+
+
+@dataclass(frozen=True, slots=True)
+class CloseIdle:
+    """Close drained flows that are idle."""
+
+    idle_s: float
+
+    def apply(self, engine: FlowEngine, now: float) -> None:
+        """Do it."""
+        engine.close_idle(now, idle_s=self.idle_s)
+
+
+@dataclass(frozen=True, slots=True)
+class CloseAll:
+    """Close all flows."""
+
+    def apply(self, engine: FlowEngine, now: float) -> None:
+        """Do it."""
+        engine.close_all()
+
+
+class FlowTask:
+    """Feeds the engine, sends what it returns and hands requests to handlers.
+
+    Parameters
+    ----------
+    engine : FlowEngine
+        Owned by this task.
+    send : callable
+        Sends inner messages.
+    on_request : callable
+        Starts the handler of a new request.
+    sink : Sink
+        Where counts go.
+    """
+
+    def __init__(
+        self,
+        *,
+        engine: FlowEngine,
+        send: Callable[[list[Send]], None],
+        on_request: Callable[[RequestStream], None],
+        sink: Sink,
+    ) -> None:
+        self.engine = engine
+        self.send = send
+        self.on_request = on_request
+        self.sink = sink
+        self.streams: dict[int, dict[int, RequestStream]] = {}
+        self.commands, self.inbox = open_memory_channel[Command | Forward](QUEUE_ITEMS)
+        self.all_closed = Event()
+
+    # Called by other tasks
+
+    def deliver(self, forward: Forward) -> None:
+        """Queue a datagram; it is lost when the queue is full."""
+        try:
+            self.commands.send_nowait(forward)
+        except WouldBlock:
+            self.sink.count(DATAGRAMS_DROPPED, reason="queue-full")
+
+    async def start_answer(
+        self, key: StreamKey, headers: tuple[Header, ...], *, is_ended: bool
+    ) -> None:
+        """Send the head of an answer."""
+        await self.commands.send(StartAnswer(key, headers, is_ended))
+
+    async def write_answer(
+        self, stream: RequestStream, data: bytes, *, is_ended: bool
+    ) -> None:
+        """Send a part of an answer; return when there is room for more."""
+        if stream.is_cancelled_by_caller:
+            return
+        stream.drained = Event()
+        await self.commands.send(WriteAnswer(stream.key, data, is_ended))
+        if not is_ended:
+            await stream.drained.wait()
+
+    async def finish(self, key: StreamKey, *, is_aborted: bool) -> None:
+        """End a request."""
+        await self.commands.send(FinishRequest(key, is_aborted))
+
+    async def resume_body(self, key: StreamKey) -> None:
+        """Let the caller send more."""
+        await self.commands.send(ResumeBody(key))
+
+    async def drain(self) -> None:
+        """Take no new flows and announce it on the open ones."""
+        await self.commands.send(Drain())
+
+    async def close_idle(self, *, idle_s: float) -> None:
+        """Close drained flows that are idle."""
+        await self.commands.send(CloseIdle(idle_s))
+
+    async def close_all(self) -> None:
+        """Close all flows."""
+        await self.commands.send(CloseAll())
+
+    # The task
+
+    async def run(self) -> None:
+        """Run until cancelled."""
+        while True:
+            # A timer that is due now must still let the loop make progress.
+            wake_at = max(self.engine.deadline, current_time() + TIMER_STEP_S)
+            with move_on_at(wake_at):
+                self._apply(await self.inbox.receive(), current_time())
+                self._apply_waiting()
+            now = current_time()
+            self.engine.tick(now)
+            self._flush(now)
+
+    def _apply_waiting(self) -> None:
+        now = current_time()
+        for _ in range(BATCH_ITEMS):
+            try:
+                item = self.inbox.receive_nowait()
+            except WouldBlock:
+                return
+            self._apply(item, now)
+
+    def _apply(self, item: Command | Forward, now: float) -> None:
+        if isinstance(item, Forward):
+            self.engine.receive(item, now)
+            return
+        item.apply(self.engine, now)
+        if isinstance(item, FinishRequest):
+            self._forget(item.key)
+
+    def _flush(self, now: float) -> None:
+        events, outgoing = self.engine.flush(now)
+        self.send(outgoing)
+        for event in events:
+            self._take_event(event, now)
+
+    def _take_event(self, event: FlowEvent, now: float) -> None:
+        if isinstance(event, RequestOpened):
+            stream = RequestStream(event, now)
+            self.streams.setdefault(event.key.flow, {})[event.key.stream] = stream
+            self.on_request(stream)
+        elif isinstance(event, FlowClosed):
+            self._cancel_flow(event.flow)
+        else:
+            self._signal(event)
+
+    def _signal(self, event: BodyReceived | RequestCancelled | AnswerDrained) -> None:
+        stream = self.streams.get(event.key.flow, {}).get(event.key.stream)
+        if stream is None:
+            return
+        if isinstance(event, BodyReceived):
+            if stream.add_body(event.data, is_ended=event.is_ended):
+                self.engine.hold_body(event.key, is_held=True)
+        elif isinstance(event, RequestCancelled):
+            stream.cancel()
+        else:
+            stream.loss_s += event.loss_s
+            stream.drained.set()
+
+    def _cancel_flow(self, flow: int) -> None:
+        for stream in list(self.streams.get(flow, {}).values()):
+            stream.cancel()
+
+    def _forget(self, key: StreamKey) -> None:
+        streams = self.streams.get(key.flow)
+        if streams is None:
+            return
+        streams.pop(key.stream, None)
+        if not streams:
+            del self.streams[key.flow]
--- /dev/null
+++ b/src/balsamtide/agent/metrics.py
@@ -0,0 +1,45 @@
+"""Metrics of the agent."""
+
+from balsamtide.telemetry.event import Metric, MetricKind
+
+__all__ = [
+    "DATAGRAMS_DROPPED",
+    "DATAGRAMS_STEERED",
+    "FLOWS_CLOSED",
+    "FLOWS_OPEN",
+    "FLOWS_OPENED",
+    "HANDSHAKES_OPEN",
+]
+
+DATAGRAMS_DROPPED = Metric(
+    name="agent_dropped_total",
+    kind=MetricKind.COUNTER,
+    meaning="Datagrams that the agent dropped.",
+    labels=("reason",),
+)
+DATAGRAMS_STEERED = Metric(
+    name="agent_steered_total",
+    kind=MetricKind.COUNTER,
+    meaning="First datagrams passed on to a peer.",
+)
+FLOWS_OPENED = Metric(
+    name="agent_flows_opened_total",
+    kind=MetricKind.COUNTER,
+    meaning="Flows whose handshake completed.",
+)
+FLOWS_CLOSED = Metric(
+    name="agent_flows_closed_total",
+    kind=MetricKind.COUNTER,
+    meaning="Flows that ended.",
+    labels=("cause",),
+)
+FLOWS_OPEN = Metric(
+    name="agent_flows_open",
+    kind=MetricKind.GAUGE,
+    meaning="Open flows.",
+)
+HANDSHAKES_OPEN = Metric(
+    name="agent_handshakes_open",
+    kind=MetricKind.GAUGE,
+    meaning="Handshakes in progress.",
+)
--- /dev/null
+++ b/src/balsamtide/agent/request_facts.py
@@ -0,0 +1,114 @@
+"""What an agent reads from the headers of a request."""
+
+from dataclasses import dataclass
+from re import Pattern
+from re import compile as compile_pattern
+
+from balsamtide.agent.flow_events import RequestOpened
+from balsamtide.config.model import Route, Service
+from balsamtide.config.routes import match_route
+from balsamtide.protocol.headers import (
+    ATTEMPT,
+    DEADLINE_MS,
+    IDEMPOTENCY_KEY,
+    STAMP,
+)
+from balsamtide.requests.model import RequestFacts
+from balsamtide.requests.runner import RequestHead
+
+__all__ = ["ParsedRequest", "RequestFault", "parse_request"]
+
+LONGEST_DEADLINE_MS = 24 * 3600 * 1000
+MOST_KEY_OCTETS = 128
+KEY_PATTERN = compile_pattern(rb"[\x21-\x7e]{1,%d}" % MOST_KEY_OCTETS)
+METHOD_PATTERN = compile_pattern(rb"[A-Z]{1,16}")
+PATH_PATTERN = compile_pattern(rb"/[\x21-\x7e]{0,8191}")
+
+
+class RequestFault(ValueError):
+    """Headers that are not a valid request."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ParsedRequest:
+    """A request as its headers describe it.
+
+    Parameters
+    ----------
+    facts : RequestFacts
+        What decisions need.
+    head : RequestHead
+        What the target gets.
+    route : Route
+        Route that matched.
+    stamp : bytes or None
+        Stamp the caller sent.
+    """
+
+    facts: RequestFacts
+    head: RequestHead
+    route: Route
+    stamp: bytes | None
+
+
+def parse_request(
+    opened: RequestOpened,
+    *,
+    service_name: str,
+    service: Service,
+    request_id: str,
+    now: float,
+) -> ParsedRequest:
+    """Read the headers of a request.
+
+    Raises
+    ------
+    RequestFault
+        If a header is missing or not valid.
+    """
+    fields = dict(opened.headers)
+    method = _matching(METHOD_PATTERN, fields.get(b":method"), "method")
+    path = _matching(PATH_PATTERN, fields.get(b":path"), "path")
+    route = match_route(service, path)
+    facts = RequestFacts(
+        request_id=request_id,
+        service=service_name,
+        route=route.prefix,
+        method=method,
+        is_idempotent=method in route.idempotent_methods,
+        key=_read_key(fields.get(IDEMPOTENCY_KEY)),
+        attempt=_read_number(fields.get(ATTEMPT), 1, 1, 1000),
+        caller=opened.caller.host,
+        arrived=now,
+        deadline=now + _read_deadline_ms(fields, route) / 1000,
+    )
+    head = RequestHead(method, path, _plain_headers(opened))
+    return ParsedRequest(facts=facts, head=head, route=route, stamp=fields.get(STAMP))
+
+
+def _plain_headers(opened: RequestOpened) -> tuple[tuple[bytes, bytes], ...]:
+    return tuple(h for h in opened.headers if not h[0].startswith(b":"))
+
+
+def _read_deadline_ms(fields: dict[bytes, bytes], route: Route) -> int:
+    return _read_number(
+        fields.get(DEADLINE_MS), route.deadline_ms, 0, LONGEST_DEADLINE_MS
+    )
+
+
+def _matching(pattern: Pattern[bytes], value: bytes | None, name: str) -> str:
+    if value is None or not pattern.fullmatch(value):
+        raise RequestFault(f"invalid {name}")
+    return value.decode("ascii")
+
+
+def _read_key(value: bytes | None) -> str | None:
+    return None if value is None else _matching(KEY_PATTERN, value, "idempotency key")
+
+
+def _read_number(value: bytes | None, default: int, least: int, most: int) -> int:
+    if value is None:
+        return default
+    if not value.isdigit() or len(value) > 12 or not least <= int(value) <= most:
+        raise RequestFault("a number is not in its range")
+    return int(value)
--- /dev/null
+++ b/src/balsamtide/agent/request_stream.py
@@ -0,0 +1,116 @@
+"""The two ends of a request between the flow task and its handler."""
+
+from collections.abc import AsyncIterator
+
+from trio import CancelScope, Event
+
+from balsamtide.agent.flow_events import RequestOpened, StreamKey
+
+__all__ = ["RequestStream"]
+
+HIGH_WATER_BYTES = 256 * 1024
+REPLAY_BYTES = 256 * 1024
+
+
+class RequestStream:
+    """Body and signals of one request, filled by the flow task.
+
+    The first octets of the body are kept, so that a request that did not run can be
+    tried elsewhere.
+
+    Parameters
+    ----------
+    opened : RequestOpened
+        How the request began.
+    opened_at : float
+        When, seconds.
+    """
+
+    def __init__(self, opened: RequestOpened, opened_at: float) -> None:
+        self.opened = opened
+        self.opened_at = opened_at
+        self.scope = CancelScope()
+        self.is_cancelled_by_caller = False
+        self.must_complete = False
+        self.chunks: list[bytes | None] = []
+        self.first_kept = 0
+        self.read = 0
+        self.unread_bytes = 0
+        self.kept_bytes = 0
+        self.is_body_ended = opened.is_ended
+        self.is_held = False
+        self.body_changed = Event()
+        self.drained = Event()
+        self.loss_s = 0.0
+
+    @property
+    def key(self) -> StreamKey:
+        """Stream of the request."""
+        return self.opened.key
+
+    @property
+    def is_replayable(self) -> bool:
+        """Whether the body can be read from its start again."""
+        return self.first_kept == 0
+
+    def add_body(self, data: bytes, *, is_ended: bool) -> bool:
+        """Add a part of the body; return whether the caller must now pause."""
+        if data:
+            self.chunks.append(data)
+            self.unread_bytes += len(data)
+        self.is_body_ended = self.is_body_ended or is_ended
+        self.body_changed.set()
+        must_pause = self.unread_bytes > HIGH_WATER_BYTES and not self.is_held
+        self.is_held = self.is_held or must_pause
+        return must_pause
+
+    async def body(self) -> AsyncIterator[bytes]:
+        """Yield the parts of the body from its start.
+
+        A body that is no longer kept whole can be read only once.
+        """
+        position = self.first_kept
+        while True:
+            while position < len(self.chunks):
+                yield self._take(position)
+                position += 1
+            if self.is_body_ended:
+                return
+            self.body_changed = Event()
+            await self.body_changed.wait()
+
+    def _take(self, position: int) -> bytes:
+        chunk = self.chunks[position]
+        assert chunk is not None
+        if position < self.read:
+            return chunk
+        self.read = position + 1
+        self.unread_bytes -= len(chunk)
+        self.kept_bytes += len(chunk)
+        if self.kept_bytes > REPLAY_BYTES:
+            self._drop_read()
+        return chunk
+
+    def _drop_read(self) -> None:
+        for position in range(self.first_kept, self.read):
+            self.chunks[position] = None
+        self.first_kept = self.read
+        self.kept_bytes = 0
+
+    def can_resume(self) -> bool:
+        """Tell once, after a pause, that the caller may send more."""
+        if self.is_held and self.unread_bytes * 2 < HIGH_WATER_BYTES:
+            self.is_held = False
+            return True
+        return False
+
+    def cancel(self) -> None:
+        """Cancel the handler because the caller gave up.
+
+        A request that must complete goes on if its body is whole; only its answer
+        has no reader any more.
+        """
+        self.is_cancelled_by_caller = True
+        self.drained.set()
+        if not (self.must_complete and self.is_body_ended):
+            self.scope.cancel()
--- /dev/null
+++ b/src/balsamtide/balancer/balancer.py
@@ -0,0 +1,236 @@
+"""The role balancer: sockets towards callers and the inner link."""
+
+from random import Random
+
+from trio import (
+    TASK_STATUS_IGNORED,
+    CancelScope,
+    Nursery,
+    TaskStatus,
+    current_time,
+    open_nursery,
+    sleep,
+)
+
+from balsamtide.balancer.events import (
+    BALANCER_STARTED,
+    BALANCER_STOPPED,
+    DATAGRAM_REFUSED,
+)
+from balsamtide.balancer.forwarder import Dropped, Forwarder
+from balsamtide.balancer.metrics import DATAGRAMS_DROPPED, DATAGRAMS_FORWARDED
+from balsamtide.config.holder import Held
+from balsamtide.config.port import PlatformPort
+from balsamtide.node.node import Node
+from balsamtide.protocol.messages import Endpoint, Message, Reply
+from balsamtide.routing.table import RoutingTable, build_table
+from balsamtide.settings.model import Settings
+from balsamtide.telemetry.sink import AuditRecord, Sink
+from balsamtide.transport.datagram_socket import DatagramSocket
+
+__all__ = ["Balancer"]
+
+DRAIN_S = 3.0
+
+AddressKey = tuple[str, str]
+
+
+class Listener:
+    """One local endpoint that callers' datagrams arrive at.
+
+    Parameters
+    ----------
+    service : int
+        Number of the service.
+    address : str
+        Name of the address.
+    socket : DatagramSocket
+        Owned by this listener.
+    """
+
+    def __init__(self, service: int, address: str, socket: DatagramSocket) -> None:
+        self.service = service
+        self.address = address
+        self.socket = socket
+        self.scope = CancelScope()
+
+
+class Balancer:
+    """Forwards datagrams either way without state of flows.
+
+    Parameters
+    ----------
+    settings : Settings
+        Of the daemon; the role is balancer.
+    sink : Sink
+        Events, counts and audit trail.
+    platform : PlatformPort
+        Read access to the platform.
+    random : Random
+        Source of every random choice.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        *,
+        sink: Sink,
+        platform: PlatformPort,
+        random: Random,
+    ) -> None:
+        assert settings.balancer is not None
+        self.settings = settings
+        self.local = settings.balancer.listen
+        self.sink = sink
+        self.node = Node(
+            settings,
+            sink=sink,
+            platform=platform,
+            random=random,
+            on_data=self._take_reply,
+            on_other=self._ignore,
+            on_change=self._use_configuration,
+        )
+        self.forwarder = Forwarder(
+            codec=self.node.link.codec,
+            ids=self.node.ids,
+            table=self._build_table(self.node.holder.held, None),
+            version=0,
+            reply_to=self.node.link.endpoint,
+        )
+        self.listeners: dict[AddressKey, Listener] = {}
+        self.by_number: dict[tuple[int, str], Listener] = {}
+        self.nursery: Nursery | None = None
+
+    async def run(self, *, task_status: TaskStatus[None] = TASK_STATUS_IGNORED) -> None:
+        """Run until a planned stop has ended."""
+        try:
+            async with open_nursery() as nursery:
+                self.nursery = nursery
+                self.node.start(nursery)
+                self.node.control.check(current_time())
+                self.sink.event(
+                    BALANCER_STARTED,
+                    addresses=len(self.listeners),
+                    inner=f"{self.node.link.endpoint.host}"
+                    f":{self.node.link.endpoint.port}",
+                )
+                task_status.started()
+                await self.node.stopping.wait()
+                await self._drain()
+                nursery.cancel_scope.cancel()
+        finally:
+            self._close()
+        self.sink.event(BALANCER_STOPPED)
+
+    async def _drain(self) -> None:
+        self.sink.audit(
+            AuditRecord(
+                kind="drain",
+                subject=self.settings.instance,
+                change="started",
+                version=self.node.holder.held.in_force,
+                cause="planned stop",
+            )
+        )
+        self.node.announce_leaving()
+        # The fabric and the agents need time to use other balancers; until then
+        # everything that still comes is forwarded.
+        await sleep(DRAIN_S)
+
+    def _close(self) -> None:
+        for listener in self.listeners.values():
+            listener.socket.close()
+        self.node.close()
+
+    # Configuration
+
+    def _use_configuration(self, held: Held, now: float) -> None:
+        table = self._build_table(held, self.forwarder.table)
+        self.forwarder.use_table(table, held.in_force)
+        self._sync_listeners(held)
+
+    def _build_table(self, held: Held, previous: RoutingTable | None) -> RoutingTable:
+        now = current_time()
+        membership = self.node.membership
+        return build_table(
+            held.configuration,
+            version=held.in_force,
+            is_eligible=lambda name, target: membership.is_target_eligible(
+                name, target, now
+            ),
+            previous=previous,
+        )
+
+    def _sync_listeners(self, held: Held) -> None:
+        wanted = {
+            (service_name, address_name): (service.number, Endpoint(a.host, a.port))
+            for service_name, service in held.configuration.services.items()
+            for address_name, a in service.addresses.items()
+        }
+        for key in [key for key in self.listeners if key not in wanted]:
+            self._close_listener(key)
+        for key, (number, published) in wanted.items():
+            if key not in self.listeners:
+                self._open_listener(key, number, self.local.get(key, published))
+
+    def _open_listener(self, key: AddressKey, number: int, local: Endpoint) -> None:
+        try:
+            socket = DatagramSocket(local)
+        except OSError as error:
+            reason = f"cannot listen: {error.strerror}"
+            self.sink.event(
+                DATAGRAM_REFUSED, reason=reason, source=f"{local.host}:{local.port}"
+            )
+            return
+        listener = Listener(number, key[1], socket)
+        self.listeners[key] = listener
+        self.by_number[number, key[1]] = listener
+        if self.nursery is not None:
+            self.nursery.start_soon(self._listen, listener)
+
+    def _close_listener(self, key: AddressKey) -> None:
+        listener = self.listeners.pop(key)
+        del self.by_number[listener.service, listener.address]
+        listener.scope.cancel()
+        listener.socket.close()
+
+    # Datagrams
+
+    async def _listen(self, listener: Listener) -> None:
+        with listener.scope:
+            while True:
+                batch = await listener.socket.receive()
+                for datagram, source in batch:
+                    self._forward(datagram, source, listener)
+
+    def _forward(
+        self, datagram: bytes, source: tuple[str, int], listener: Listener
+    ) -> None:
+        result = self.forwarder.forward(
+            datagram, Endpoint(*source), listener.service, listener.address
+        )
+        if isinstance(result, Dropped):
+            reason = result.reason.value
+            self.sink.count(DATAGRAMS_DROPPED, reason=reason)
+            self.sink.event(
+                DATAGRAM_REFUSED, reason=reason, source=f"{source[0]}:{source[1]}"
+            )
+            return
+        self.node.link.socket.send(result.datagram, result.destination)
+        self.sink.count(DATAGRAMS_FORWARDED, direction="to-agent")
+
+    def _take_reply(self, message: Message, source: Endpoint, now: float) -> None:
+        if not isinstance(message, Reply):
+            self.sink.count(DATAGRAMS_DROPPED, reason="unexpected")
+            return
+        listener = self.by_number.get((message.service, message.address))
+        if listener is None:
+            self.sink.count(DATAGRAMS_DROPPED, reason="no-address")
+            return
+        caller = message.caller
+        listener.socket.send(message.payload, (caller.host, caller.port))
+        self.sink.count(DATAGRAMS_FORWARDED, direction="to-caller")
+
+    def _ignore(self, message: Message, source: Endpoint, now: float) -> None:
+        """Messages among agents do not concern a balancer."""
--- /dev/null
+++ b/src/balsamtide/balancer/metrics.py
@@ -0,0 +1,18 @@
+"""Metrics of the balancer."""
+
+from balsamtide.telemetry.event import Metric, MetricKind
+
+__all__ = ["DATAGRAMS_DROPPED", "DATAGRAMS_FORWARDED"]
+
+DATAGRAMS_FORWARDED = Metric(
+    name="balancer_datagrams_total",
+    kind=MetricKind.COUNTER,
+    meaning="Datagrams that the balancer forwarded.",
+    labels=("direction",),
+)
+DATAGRAMS_DROPPED = Metric(
+    name="balancer_dropped_total",
+    kind=MetricKind.COUNTER,
+    meaning="Datagrams that the balancer dropped.",
+    labels=("reason",),
+)
--- /dev/null
+++ b/src/balsamtide/caller/caller.py
@@ -0,0 +1,405 @@
+"""The caller library: flows, deadlines, verdicts and safe retries."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from random import Random
+from uuid import uuid4
+
+from trio import (
+    Nursery,
+    TooSlowError,
+    current_time,
+    fail_at,
+    move_on_after,
+    open_nursery,
+    sleep,
+)
+
+from balsamtide.caller.answer import Answer, StreamedAnswer
+from balsamtide.caller.errors import (
+    CallerError,
+    ConnectError,
+    DeadlineError,
+    StreamBrokenError,
+)
+from balsamtide.caller.flow import (
+    AnswerStarted,
+    RequestRejected,
+    make_caller_configuration,
+)
+from balsamtide.caller.flow_task import CallerFlowTask, PendingRequest
+from balsamtide.protocol.headers import (
+    ATTEMPT,
+    DEADLINE_MS,
+    IDEMPOTENCY_KEY,
+    RETRY_AFTER_MS,
+    STAMP,
+)
+from balsamtide.protocol.messages import Endpoint
+from balsamtide.protocol.verdict import Verdict
+from balsamtide.requests.errors import AttemptsFailed, RequestError
+from balsamtide.requests.retry_budget import RetryBudget
+from balsamtide.requests.runner import Header
+
+__all__ = ["Caller", "open_caller"]
+
+IDEMPOTENT_METHODS = frozenset(("GET", "HEAD", "OPTIONS"))
+STAMP_PATH = "/.well-known/balsamtide"
+STATUS_STAMP_REQUIRED = 428
+MOST_ATTEMPTS = 4
+CONNECT_TIMEOUT_S = 5.0
+FIRST_BACKOFF_S = 0.02
+LONGEST_BACKOFF_S = 1.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Call:
+    """One request of an application, over all its tries.
+
+    Parameters
+    ----------
+    method, path : str
+        What is asked.
+    headers : tuple of (bytes, bytes)
+        Header fields of the application.
+    body : bytes
+        Body.
+    key : str or None
+        Idempotency key.
+    deadline : float
+        Local time at which the answer is worthless, seconds.
+    """
+
+    method: str
+    path: str
+    headers: tuple[Header, ...]
+    body: bytes
+    key: str | None
+    deadline: float
+
+    @property
+    def is_idempotent(self) -> bool:
+        """Whether running it twice equals running it once."""
+        return self.method in IDEMPOTENT_METHODS
+
+
+class Caller:
+    """Sends requests to one service address over as few flows as possible.
+
+    Use ``open_caller`` to make one.
+
+    Parameters
+    ----------
+    remote : Endpoint
+        Service address.
+    server_name : str
+        Name in the service's certificate.
+    authority : str or None
+        Path of a PEM file with trusted authorities.
+    nursery : Nursery
+        Where the flows run.
+    random : Random
+        Source of jitter.
+    """
+
+    def __init__(
+        self,
+        *,
+        remote: Endpoint,
+        server_name: str,
+        authority: str | None,
+        nursery: Nursery,
+        random: Random,
+    ) -> None:
+        self.remote = remote
+        self.configuration = make_caller_configuration(
+            server_name=server_name, authority=authority
+        )
+        self.nursery = nursery
+        self.random = random
+        self.budget = RetryBudget(percent=20)
+        self.current: CallerFlowTask | None = None
+        self.connecting: CallerFlowTask | None = None
+        self.stamps: dict[int, bytes] = {}
+        self.broken_flows = 0
+
+    async def request(
+        self,
+        method: str,
+        path: str,
+        *,
+        headers: tuple[Header, ...] = (),
+        body: bytes = b"",
+        idempotency_key: str | None = None,
+        timeout_s: float = 10.0,
+    ) -> Answer:
+        """Send a request and return its whole answer.
+
+        A non-idempotent request gets an idempotency key, if it has none, so that
+        a repeat never runs twice.
+
+        Raises
+        ------
+        AttemptsFailed
+            If no try got a whole answer; its verdict covers all tries.
+        """
+        is_keyed = method not in IDEMPOTENT_METHODS
+        key = idempotency_key or (uuid4().hex if is_keyed else None)
+        deadline = current_time() + timeout_s
+        call = Call(
+            method=method,
+            path=path,
+            headers=headers,
+            body=body,
+            key=key,
+            deadline=deadline,
+        )
+        return await self._try_repeatedly(call)
+
+    @asynccontextmanager
+    async def stream(
+        self,
+        method: str,
+        path: str,
+        *,
+        headers: tuple[Header, ...] = (),
+        body: bytes = b"",
+        timeout_s: float = 10.0,
+    ) -> AsyncIterator[StreamedAnswer]:
+        """Send one request, without retries, and read its answer part by part.
+
+        ``timeout_s`` is for the start of the answer.
+        """
+        deadline = current_time() + timeout_s
+        call = Call(
+            method=method,
+            path=path,
+            headers=headers,
+            body=body,
+            key=None,
+            deadline=deadline,
+        )
+        flow = await self._flow(deadline)
+        pending = await flow.open_request(self._head(call, 1, b""), body)
+        try:
+            yield await self._await_head(pending, deadline)
+        finally:
+            flow.cancel_request(pending)
+
+    # Tries
+
+    async def _try_repeatedly(self, call: Call) -> Answer:
+        failures: list[RequestError] = []
+        stamp = b""
+        sent = 0
+        self.budget.first_try()
+        for attempt in range(1, MOST_ATTEMPTS + 1):
+            try:
+                flow = await self._flow(call.deadline)
+                if call.key is not None and not call.is_idempotent and sent == 0:
+                    stamp = await self._stamp(flow, call.deadline)
+                answer = await self._try(flow, call, sent + 1, stamp)
+            except CallerError as error:
+                sent += error.verdict is not Verdict.NOT_RUN or sent > 0
+                failures.append(RequestError(error.verdict, error.reason))
+                if not self._may_repeat(call, error.verdict, attempt):
+                    break
+                await self._back_off(attempt, call.deadline, None)
+                continue
+            if answer.status == STATUS_STAMP_REQUIRED and sent == 0:
+                self.stamps[id(flow)] = answer.header(STAMP)
+                continue
+            must_wait = answer.verdict is Verdict.NOT_RUN and answer.status >= 500
+            if not must_wait or not self._may_repeat(call, answer.verdict, attempt):
+                return answer
+            await self._back_off(attempt, call.deadline, answer)
+        raise AttemptsFailed(f"{call.method} {call.path} failed", failures)
+
+    def _may_repeat(self, call: Call, verdict: Verdict, attempt: int) -> bool:
+        # A keyed repeat is safe after any verdict: its home runs it at most once.
+        is_safe = verdict.is_retry_safe(is_idempotent=call.is_idempotent)
+        is_safe = is_safe or call.key is not None
+        if not is_safe or attempt >= MOST_ATTEMPTS:
+            return False
+        return self.budget.take(
+            verdict, is_idempotent=True, now=current_time(), deadline=call.deadline
+        )
+
+    async def _back_off(
+        self, attempt: int, deadline: float, answer: Answer | None
+    ) -> None:
+        said = answer.header(RETRY_AFTER_MS) if answer is not None else b""
+        least = int(said) / 1000 if said.isdigit() else 0.0
+        longest = min(LONGEST_BACKOFF_S, FIRST_BACKOFF_S * 2**attempt)
+        pause = least + self.random.uniform(0, longest)
+        await sleep(max(0.0, min(pause, deadline - current_time())))
+
+    async def _try(
+        self, flow: CallerFlowTask, call: Call, attempt: int, stamp: bytes
+    ) -> Answer:
+        headers = self._head(call, attempt, stamp)
+        pending = await flow.open_request(headers, call.body)
+        try:
+            answer = await self._await_head(pending, call.deadline)
+            body = await self._read_body(answer, call.deadline)
+        finally:
+            flow.cancel_request(pending)
+        if answer.stamp:
+            self.stamps[id(flow)] = answer.stamp
+        return Answer(
+            status=answer.status,
+            headers=answer.headers,
+            body=body,
+            verdict=answer.verdict,
+            attempts=attempt,
+        )
+
+    def _head(self, call: Call, attempt: int, stamp: bytes) -> tuple[Header, ...]:
+        remaining_ms = max(0, int((call.deadline - current_time()) * 1000))
+        added: list[Header] = [
+            (b":method", call.method.encode()),
+            (b":scheme", b"https"),
+            (b":authority", (self.configuration.server_name or "").encode()),
+            (b":path", call.path.encode()),
+            *call.headers,
+            (DEADLINE_MS, str(remaining_ms).encode()),
+            (ATTEMPT, str(attempt).encode()),
+        ]
+        if call.body:
+            added.append((b"content-length", str(len(call.body)).encode()))
+        if call.key is not None:
+            added.append((IDEMPOTENCY_KEY, call.key.encode()))
+        if stamp:
+            added.append((STAMP, stamp))
+        return tuple(added)
+
+    async def _await_head(
+        self, pending: PendingRequest, deadline: float
+    ) -> StreamedAnswer:
+        try:
+            with fail_at(deadline):
+                event = await pending.events.receive()
+        except TooSlowError:
+            raise DeadlineError(
+                Verdict.MAY_HAVE_RUN, "no answer before the deadline"
+            ) from None
+        if isinstance(event, AnswerStarted):
+            return StreamedAnswer(pending, event)
+        if isinstance(event, RequestRejected):
+            raise StreamBrokenError(Verdict.NOT_RUN, "rejected by the other end")
+        raise StreamBrokenError(Verdict.MAY_HAVE_RUN, "the flow broke")
+
+    async def _read_body(self, answer: StreamedAnswer, deadline: float) -> bytes:
+        body = bytearray()
+        try:
+            with fail_at(deadline):
+                async for part in answer.parts():
+                    body += part
+        except TooSlowError:
+            raise DeadlineError(
+                answer.verdict, "the answer was not whole at the deadline"
+            ) from None
+        return bytes(body)
+
+    # Flows and stamps
+
+    async def _stamp(self, flow: CallerFlowTask, deadline: float) -> bytes:
+        known = self.stamps.pop(id(flow), b"")
+        if known:
+            return known
+        call = Call(
+            method="GET",
+            path=STAMP_PATH,
+            headers=(),
+            body=b"",
+            key=None,
+            deadline=deadline,
+        )
+        answer = await self._try(flow, call, 1, b"")
+        return self.stamps.pop(id(flow), b"") or answer.header(STAMP)
+
+    async def _flow(self, deadline: float) -> CallerFlowTask:
+        current = self.current
+        if current is not None and not current.flow.is_going_away:
+            return current
+        if self.connecting is None or self.connecting.ended.is_set():
+            self.connecting = self._start_flow()
+        connecting = self.connecting
+        await self._await_open(connecting, deadline)
+        if self.connecting is connecting:
+            self.connecting = None
+            self.current = connecting
+        return connecting
+
+    def _start_flow(self) -> CallerFlowTask:
+        self.stamps.clear()
+        flow = CallerFlowTask(self.configuration, self.remote)
+        self.nursery.start_soon(flow.run)
+        return flow
+
+    async def _await_open(self, flow: CallerFlowTask, deadline: float) -> None:
+        timeout = min(CONNECT_TIMEOUT_S, max(0.0, deadline - current_time()))
+        with move_on_after(timeout):
+            async with open_nursery() as nursery:
+
+                async def wait_ended() -> None:
+                    await flow.ended.wait()
+                    nursery.cancel_scope.cancel()
+
+                nursery.start_soon(wait_ended)
+                await flow.opened.wait()
+                nursery.cancel_scope.cancel()
+        if flow.opened.is_set() and not flow.ended.is_set():
+            return
+        if self.connecting is flow:
+            self.connecting = None
+        flow.flow.close()
+        reason = flow.end_reason or "timeout"
+        raise ConnectError(Verdict.NOT_RUN, f"no flow could be opened: {reason}")
+
+    async def aclose(self) -> None:
+        """Close all flows."""
+        if self.current is not None:
+            await self.current.close()
+
+
+@asynccontextmanager
+async def open_caller(
+    host: str,
+    port: int,
+    *,
+    server_name: str,
+    authority: str | None = None,
+    random: Random | None = None,
+) -> AsyncIterator[Caller]:
+    """Open a caller for one service address.
+
+    Parameters
+    ----------
+    host : str
+        IP address.
+    port : int
+        UDP port.
+    server_name : str
+        Name in the service's certificate.
+    authority : str or None
+        Path of a PEM file with trusted authorities; None for the system's.
+    random : Random or None
+        Source of jitter.
+    """
+    async with open_nursery() as nursery:
+        caller = Caller(
+            remote=Endpoint(host, port),
+            server_name=server_name,
+            authority=authority,
+            nursery=nursery,
+            random=random or Random(),
+        )
+        try:
+            yield caller
+        finally:
+            with move_on_after(0.2) as scope:
+                scope.shield = True
+                await caller.aclose()
+            nursery.cancel_scope.cancel()
--- /dev/null
+++ b/src/balsamtide/caller/flow.py
@@ -0,0 +1,315 @@
+"""One flow of a caller: a QUIC connection with HTTP/3, driven without I/O."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from aioquic.buffer import Buffer
+from aioquic.h3.connection import H3_ALPN, ErrorCode, FrameType, H3Connection
+from aioquic.h3.events import DataReceived, HeadersReceived
+from aioquic.quic.configuration import QuicConfiguration
+from aioquic.quic.connection import QuicConnection
+from aioquic.quic.events import (
+    ConnectionTerminated,
+    HandshakeCompleted,
+    QuicEvent,
+    StopSendingReceived,
+    StreamReset,
+)
+
+from balsamtide.protocol.messages import Endpoint
+from balsamtide.requests.runner import Header
+
+__all__ = [
+    "AnswerPart",
+    "AnswerStarted",
+    "CallerFlow",
+    "FlowEnded",
+    "FlowOpened",
+    "RequestRejected",
+    "StreamBroken",
+    "make_caller_configuration",
+]
+
+IDLE_TIMEOUT_S = 60.0
+PING_PERIOD_S = 1.0
+SILENCE_S = 6.0
+RESET_TOKEN_BYTES = 16
+
+
+@dataclass(frozen=True, slots=True)
+class FlowOpened:
+    """The handshake completed."""
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerStarted:
+    """Status and headers of an answer arrived."""
+
+    stream: int
+    headers: tuple[Header, ...]
+    is_ended: bool
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerPart:
+    """A part of an answer arrived."""
+
+    stream: int
+    data: bytes
+    is_ended: bool
+
+
+@dataclass(frozen=True, slots=True)
+class RequestRejected:
+    """The other end said that it did not process the request."""
+
+    stream: int
+
+
+@dataclass(frozen=True, slots=True)
+class StreamBroken:
+    """A stream ended before its answer was whole."""
+
+    stream: int
+
+
+@dataclass(frozen=True, slots=True)
+class FlowEnded:
+    """The flow is gone.
+
+    Parameters
+    ----------
+    reason : str
+        Why.
+    """
+
+    reason: str
+
+
+CallerEvent = (
+    FlowOpened | AnswerStarted | AnswerPart | RequestRejected | StreamBroken | FlowEnded
+)
+
+
+def make_caller_configuration(
+    *, server_name: str, authority: str | None
+) -> QuicConfiguration:
+    """Return a client configuration.
+
+    Parameters
+    ----------
+    server_name : str
+        Name that the certificate must have.
+    authority : str or None
+        Path of a PEM file with authorities; None for the system's.
+    """
+    configuration = QuicConfiguration(
+        is_client=True,
+        alpn_protocols=H3_ALPN,
+        server_name=server_name,
+        idle_timeout=IDLE_TIMEOUT_S,
+    )
+    if authority is not None:
+        configuration.load_verify_locations(cafile=authority)
+    return configuration
+
+
+class ClientH3Connection(H3Connection):
+    """HTTP/3 with the caller's side of GOAWAY."""
+
+    goaway_stream: int | None = None
+
+    def _handle_control_frame(self, frame_type: int, frame_data: bytes) -> None:
+        if frame_type == FrameType.GOAWAY:
+            self.goaway_stream = Buffer(data=frame_data).pull_uint_var()
+        super()._handle_control_frame(frame_type, frame_data)
+
+
+class CallerFlow:
+    """A flow to one service address.
+
+    Parameters
+    ----------
+    configuration : QuicConfiguration
+        See ``make_caller_configuration``.
+    remote : Endpoint
+        Service address.
+    now : float
+        Current time, seconds.
+    """
+
+    def __init__(
+        self, configuration: QuicConfiguration, remote: Endpoint, now: float
+    ) -> None:
+        self.connection = QuicConnection(configuration=configuration)
+        self.h3: ClientH3Connection | None = None
+        self.remote = (remote.host, remote.port)
+        self.open_streams: set[int] = set()
+        self.is_open = False
+        self.is_ended = False
+        self.heard_at = now
+        self.next_ping_at = now + PING_PERIOD_S
+        self.events: list[CallerEvent] = []
+        self.connection.connect(self.remote, now=now)
+
+    @property
+    def is_going_away(self) -> bool:
+        """Whether new requests belong on another flow."""
+        return self.is_ended or (
+            self.h3 is not None and self.h3.goaway_stream is not None
+        )
+
+    def open_request(
+        self, headers: Sequence[Header], body: bytes, *, is_ended: bool = True
+    ) -> int:
+        """Send a request and return its stream."""
+        assert self.h3 is not None
+        stream = self.connection.get_next_available_stream_id()
+        self.open_streams.add(stream)
+        has_body = bool(body) or not is_ended
+        self.h3.send_headers(stream, list(headers), end_stream=not has_body)
+        if body:
+            self.h3.send_data(stream, body, end_stream=is_ended)
+        return stream
+
+    def send_body(self, stream: int, data: bytes, *, is_ended: bool) -> None:
+        """Send a part of a request's body."""
+        if self.h3 is not None and stream in self.open_streams:
+            self.h3.send_data(stream, data, end_stream=is_ended)
+
+    def unsent_bytes(self, stream: int) -> int:
+        """Return the octets of a request's body that are not acknowledged."""
+        sender = self.connection._streams.get(stream)
+        if sender is None:
+            return 0
+        return sender.sender._buffer_stop - sender.sender._buffer_start
+
+    def cancel(self, stream: int) -> None:
+        """Give a request up."""
+        if stream not in self.open_streams:
+            return
+        self.open_streams.discard(stream)
+        self.connection.reset_stream(stream, ErrorCode.H3_REQUEST_CANCELLED)
+        self.connection.stop_stream(stream, ErrorCode.H3_REQUEST_CANCELLED)
+
+    def receive(self, datagram: bytes, source: tuple[str, int], now: float) -> None:
+        """Take a datagram."""
+        if self._is_reset(datagram):
+            self._end("reset")
+            return
+        self.heard_at = now
+        self.connection.receive_datagram(datagram, self.remote, now)
+        self._handle_events()
+
+    def tick(self, now: float) -> None:
+        """Handle the timers that are due."""
+        timer = self.connection.get_timer()
+        if timer is not None and timer <= now:
+            self.connection.handle_timer(now)
+            self._handle_events()
+        if self.open_streams and now >= self.next_ping_at:
+            self.next_ping_at = now + PING_PERIOD_S
+            if self.is_open:
+                self.connection.send_ping(0)
+        if self.open_streams and now - self.heard_at > SILENCE_S:
+            self._end("silent")
+
+    @property
+    def deadline(self) -> float:
+        """Time at which ``tick`` is next due."""
+        timer = self.connection.get_timer()
+        if timer is None:
+            return self.next_ping_at
+        return min(timer, self.next_ping_at) if self.open_streams else timer
+
+    def close(self) -> None:
+        """Close the flow."""
+        self.connection.close(error_code=ErrorCode.H3_NO_ERROR)
+
+    def take_datagrams(self, now: float) -> list[bytes]:
+        """Return what to send."""
+        if self.is_ended:
+            return []
+        return [data for data, _ in self.connection.datagrams_to_send(now)]
+
+    def take_events(self) -> list[CallerEvent]:
+        """Return what happened since the last call."""
+        events, self.events = self.events, []
+        return events
+
+    def _is_reset(self, datagram: bytes) -> bool:
+        """Tell whether the other end lost this flow (RFC 9000, section 10.3).
+
+        aioquic keeps the tokens of the other end's IDs but does not compare them.
+        """
+        if len(datagram) < RESET_TOKEN_BYTES + 5 or datagram[0] & 0x80:
+            return False
+        tail = datagram[-RESET_TOKEN_BYTES:]
+        connection = self.connection
+        known = (connection._peer_cid, *connection._peer_cid_available)
+        return any(item.stateless_reset_token == tail for item in known)
+
+    def _end(self, reason: str) -> None:
+        if not self.is_ended:
+            self.is_ended = True
+            self.open_streams.clear()
+            self.events.append(FlowEnded(reason))
+
+    def _handle_events(self) -> None:
+        event = self.connection.next_event()
+        while event is not None:
+            self._handle(event)
+            event = self.connection.next_event()
+        self._reject_refused()
+
+    def _handle(self, event: QuicEvent) -> None:
+        if isinstance(event, HandshakeCompleted):
+            self.h3 = ClientH3Connection(self.connection)
+            self.is_open = True
+            self.events.append(FlowOpened())
+        elif isinstance(event, ConnectionTerminated):
+            self._end(event.reason_phrase or f"error {event.error_code}")
+            return
+        elif isinstance(event, StreamReset | StopSendingReceived):
+            self._break(event.stream_id, event.error_code)
+        if self.h3 is None:
+            return
+        for h3_event in self.h3.handle_event(event):
+            if isinstance(h3_event, HeadersReceived):
+                headers = tuple(h3_event.headers)
+                self._answer(
+                    h3_event.stream_id,
+                    AnswerStarted(h3_event.stream_id, headers, h3_event.stream_ended),
+                    is_ended=h3_event.stream_ended,
+                )
+            elif isinstance(h3_event, DataReceived):
+                self._answer(
+                    h3_event.stream_id,
+                    AnswerPart(
+                        h3_event.stream_id, h3_event.data, h3_event.stream_ended
+                    ),
+                    is_ended=h3_event.stream_ended,
+                )
+
+    def _answer(self, stream: int, event: CallerEvent, *, is_ended: bool) -> None:
+        if stream not in self.open_streams:
+            return
+        if is_ended:
+            self.open_streams.discard(stream)
+        self.events.append(event)
+
+    def _break(self, stream: int, error_code: int) -> None:
+        if stream not in self.open_streams:
+            return
+        self.open_streams.discard(stream)
+        is_rejected = error_code == ErrorCode.H3_REQUEST_REJECTED
+        broken = RequestRejected(stream) if is_rejected else StreamBroken(stream)
+        self.events.append(broken)
+
+    def _reject_refused(self) -> None:
+        if self.h3 is None or self.h3.goaway_stream is None:
+            return
+        limit = self.h3.goaway_stream
+        for stream in [s for s in self.open_streams if s >= limit]:
+            self.open_streams.discard(stream)
+            self.events.append(RequestRejected(stream))
--- a/src/balsamtide/config/model.py
+++ b/src/balsamtide/config/model.py
@@ -102,12 +102,16 @@
         Deadline of a request that states none, in milliseconds.
     idempotent_methods : tuple of str
         Methods that may run more than once.
+    frees_slot_at_head : bool
+        Whether the target's slot is free once the answer has begun, as with streams
+        that only wait for news.
     """
 
     prefix: Annotated[str, Meta(pattern=r"^/", max_length=256)]
     size_class: SizeClass = SizeClass.LEARNED
     deadline_ms: Annotated[int, Meta(ge=1, le=86_400_000)] = 10_000
     idempotent_methods: tuple[str, ...] = ("GET", "HEAD", "OPTIONS")
+    frees_slot_at_head: bool = False
 
 
 class Limits(Struct, frozen=True, forbid_unknown_fields=True):
--- /dev/null
+++ b/src/balsamtide/node/__init__.py
@@ -0,0 +1,1 @@
+"""What balancers and agents have in common: the inner link and the control tasks."""
--- /dev/null
+++ b/src/balsamtide/node/metrics.py
@@ -0,0 +1,12 @@
+"""Metrics that every role exposes."""
+
+from balsamtide.telemetry.event import Metric, MetricKind
+
+__all__ = ["INNER_DROPPED"]
+
+INNER_DROPPED = Metric(
+    name="inner_dropped_total",
+    kind=MetricKind.COUNTER,
+    meaning="Inner datagrams that were not valid.",
+    labels=("reason",),
+)
--- /dev/null
+++ b/src/balsamtide/node/node.py
@@ -0,0 +1,138 @@
+"""What every role starts: socket, codecs, configuration, membership."""
+
+from collections.abc import Callable, Sequence
+from random import Random
+
+from trio import Event, Nursery, current_time, sleep
+
+from balsamtide.config.holder import ConfigurationHolder, Held
+from balsamtide.config.port import Instance, PlatformError, PlatformPort
+from balsamtide.membership.membership import Membership
+from balsamtide.node.control import Control
+from balsamtide.node.inner_link import Handler, InnerLink
+from balsamtide.protocol.actions import Send
+from balsamtide.protocol.connection_id import ConnectionIdCodec
+from balsamtide.protocol.datagram import DatagramCodec
+from balsamtide.protocol.messages import Endpoint, Message
+from balsamtide.settings.model import Settings
+from balsamtide.telemetry.sink import Sink
+from balsamtide.transport.datagram_socket import DatagramSocket
+
+__all__ = ["Node"]
+
+INCARNATION_BITS = 32
+READ_RETRY_S = 1.0
+
+
+class Node:
+    """The part of a process that does not depend on its role.
+
+    Parameters
+    ----------
+    settings : Settings
+        Of the daemon.
+    sink : Sink
+        Events, counts and audit trail.
+    platform : PlatformPort
+        Read access to the platform.
+    random : Random
+        Source of every random choice.
+    on_data, on_other : callable
+        Take forwarded datagrams, and control messages of other packages.
+    on_change : callable
+        Takes the held configuration when it changed.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        *,
+        sink: Sink,
+        platform: PlatformPort,
+        random: Random,
+        on_data: Handler,
+        on_other: Handler,
+        on_change: Callable[[Held, float], None],
+    ) -> None:
+        self.settings = settings
+        self.sink = sink
+        self.platform = platform
+        self.random = random
+        self.on_other = on_other
+        self.incarnation = random.getrandbits(INCARNATION_BITS)
+        self.ids = ConnectionIdCodec(settings.id_keys)
+        self.link = InnerLink(
+            socket=DatagramSocket(settings.inner),
+            codec=DatagramCodec(settings.mac_keys),
+            sink=sink,
+            on_data=on_data,
+            on_control=self._take_control,
+        )
+        self.holder = ConfigurationHolder(sink=sink)
+        self.membership = Membership(
+            self._own_instance(),
+            incarnation=self.incarnation,
+            log=self.holder,
+            sink=sink,
+            random=random,
+            now=current_time(),
+        )
+        self.control = Control(
+            holder=self.holder,
+            membership=self.membership,
+            send=self.send,
+            on_change=on_change,
+        )
+        self.stopping = Event()
+
+    def _own_instance(self) -> Instance:
+        settings = self.settings
+        return Instance(
+            name=settings.instance,
+            role=settings.role.value,
+            region=settings.region,
+            zone=settings.zone,
+            inner=self.link.endpoint,
+            rpc=settings.rpc,
+        )
+
+    def send(self, sends: Sequence[Send]) -> None:
+        """Send inner messages."""
+        self.link.send(sends)
+
+    def _take_control(self, message: Message, source: Endpoint, now: float) -> None:
+        self.control.receive(message, source, now)
+        self.on_other(message, source, now)
+
+    def start(self, nursery: Nursery) -> None:
+        """Start the tasks that every role has."""
+        nursery.start_soon(self.link.run)
+        nursery.start_soon(self.control.run)
+        nursery.start_soon(self._read_platform)
+
+    async def _read_platform(self) -> None:
+        while True:
+            try:
+                instances = await self.platform.instances()
+                now = current_time()
+                self.send(self.membership.update_instances(instances, now))
+                entries = await self.platform.watch(self.holder.held.number, 1.0)
+            except PlatformError:
+                await sleep(READ_RETRY_S)
+                continue
+            now = current_time()
+            self.holder.offer_entries(entries, source="platform", now=now)
+            self.send(self.membership.entries_arrived(now))
+            self.control.check(now)
+
+    def stop(self) -> None:
+        """Ask for a planned stop."""
+        self.stopping.set()
+
+    def announce_leaving(self) -> None:
+        """Tell the peers that this process takes no new work."""
+        self.send(self.membership.announce_leaving(current_time()))
+
+    def close(self) -> None:
+        """Close the socket."""
+        self.link.socket.close()
--- /dev/null
+++ b/tests/test_path.py
@@ -0,0 +1,104 @@
+"""Tests of the whole path on loopback: caller, fabric, balancer, agent, target."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import pytest
+from trio import open_nursery, run
+
+from balsamtide.caller import Caller, open_caller
+from balsamtide.protocol.verdict import Verdict
+from balsamtide.telemetry.memory_sink import MemorySink
+from bench.standins.deployment import (
+    SERVER_NAME,
+    Deployment,
+    DeploymentPlan,
+    ServicePlan,
+)
+from bench.standins.fabric import PathFaults
+
+PLAN = DeploymentPlan(
+    name="region",
+    zones=("zone-a", "zone-b"),
+    services=(
+        ServicePlan(name="quick", number=1, targets=2, slots=1),
+        ServicePlan(name="bulk", number=2, targets=2, slots=1),
+    ),
+    balancers=2,
+)
+FAULTY = PathFaults(loss=0.03, duplicate=0.05, reorder=0.1)
+
+
+@asynccontextmanager
+async def running(
+    folder: Path, faults: PathFaults | None = None
+) -> AsyncIterator[Deployment]:
+    """Yield a running deployment."""
+    async with open_nursery() as nursery:
+        deployment = Deployment(
+            PLAN, folder=folder, sink=lambda name: MemorySink(), seed=7, faults=faults
+        )
+        await deployment.start(nursery)
+        await deployment.wait_ready()
+        yield deployment
+        nursery.cancel_scope.cancel()
+
+
+@asynccontextmanager
+async def calling(deployment: Deployment, service: str) -> AsyncIterator[Caller]:
+    """Yield a caller of one service."""
+    endpoint = deployment.fabrics[service].endpoint
+    async with open_caller(
+        endpoint.host,
+        endpoint.port,
+        server_name=SERVER_NAME,
+        authority=str(deployment.certificates.certificate),
+    ) as caller:
+        yield caller
+
+
+@pytest.mark.parametrize("faults", [None, FAULTY], ids=["clean", "faulty"])
+@pytest.mark.parametrize("service", ["quick", "bulk"])
+def test_requests_are_answered_by_their_service(tmp_path, service, faults):
+    """Each request gets its own whole answer and each mark runs once."""
+
+    async def scenario():
+        async with (
+            running(tmp_path, faults) as deployment,
+            calling(deployment, service) as caller,
+        ):
+            for number in range(6):
+                answer = await caller.request("GET", f"/short/{number}")
+                assert answer.body == f"/short/{number}|".encode()
+                mark = await caller.request(
+                    "POST", "/mark", body=b"x" * 3000, idempotency_key=f"k{number}"
+                )
+                assert (mark.status, mark.verdict) == (200, Verdict.RAN)
+                assert mark.body == b"x" * 3000
+            record = deployment.records[service]
+            assert record.keys == {f"k{number}": 1 for number in range(6)}
+            assert record.foreign == 0
+
+    run(scenario)
+
+
+def test_stream_survives_the_loss_of_a_balancer(tmp_path):
+    """A long answer arrives whole while a balancer is killed and one is added."""
+
+    async def scenario():
+        async with (
+            running(tmp_path) as deployment,
+            calling(deployment, "quick") as caller,
+            caller.stream("GET", "/watch?n=30") as answer,
+        ):
+            parts = []
+            async for part in answer.parts():
+                parts.append(part)
+                if len(parts) == 5:
+                    deployment.kill_balancer("balancer-1")
+                if len(parts) == 10:
+                    await deployment.add_balancer()
+            assert b"".join(parts).count(b"part") == 30
+
+    run(scenario)
