Read the platform over HTTP, and check patches before they are submitted

Every failure of the platform is one typed error: down, slow, trickling, garbage, oversized. The read budget is a token bucket and the backoff is jittered; both are free of I/O. The check of a patch uses the verdict of the daemons, and adds what would change and which flows it would cut. The stand-in serves the same calls, counts reads, and can be out, stale, slow or restored from an older log.

--- /dev/null
+++ b/src/balsamtide/config/patch_check.py
@@ -0,0 +1,189 @@
+"""The verdict on a patch before it is submitted, with what it changes and risks."""
+
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass
+from enum import Enum
+
+from balsamtide.config.difference import ConfigurationChange, diff_configurations
+from balsamtide.config.judge import Judgement, judge
+from balsamtide.config.model import Configuration, Service, TargetState
+from balsamtide.protocol.messages import Entry
+
+__all__ = ["PatchReport", "PatchWarning", "WarningKind", "check_patch"]
+
+
+class WarningKind(Enum):
+    """What a valid patch puts at risk."""
+
+    CUTS_FLOWS = "cuts-flows"
+    MOVES_ADDRESS = "moves-address"
+    NO_ACTIVE_TARGET = "no-active-target"
+    NO_DEFAULT_ROUTE = "no-default-route"
+    SHARED_AGENT = "shared-agent"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PatchWarning:
+    """A risk of a valid patch.
+
+    Parameters
+    ----------
+    kind : WarningKind
+        Class of the risk.
+    path : str
+        JSON pointer of the member concerned.
+    detail : str
+        What to expect, and what avoids it.
+    """
+
+    kind: WarningKind
+    path: str
+    detail: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PatchReport:
+    """What an entry would do.
+
+    Parameters
+    ----------
+    judgement : Judgement
+        The verdict that every process would reach.
+    changes : tuple of ConfigurationChange
+        What would change; empty if rejected.
+    warnings : tuple of PatchWarning
+        Risks; empty if rejected.
+    """
+
+    judgement: Judgement
+    changes: tuple[ConfigurationChange, ...] = ()
+    warnings: tuple[PatchWarning, ...] = ()
+
+
+Check = Callable[[Configuration, Configuration], Iterable[PatchWarning]]
+
+
+def _changed_services(
+    old: Configuration, new: Configuration
+) -> Iterator[tuple[str, Service | None, Service]]:
+    for name, service in new.services.items():
+        before = old.services.get(name)
+        if service is not before:
+            yield name, before, service
+
+
+def _holds_flows(state: TargetState) -> bool:
+    return state is not TargetState.DISABLED
+
+
+def _cut_flows(old: Configuration, new: Configuration) -> Iterator[PatchWarning]:
+    """Warn of active targets that disappear or are disabled without a drain."""
+    for name, service in old.services.items():
+        after = new.services.get(name)
+        if after is service:
+            continue
+        remaining = {} if after is None else after.targets
+        kept = {
+            target.number for target in remaining.values() if _holds_flows(target.state)
+        }
+        for key, target in service.targets.items():
+            if target.state is TargetState.ACTIVE and target.number not in kept:
+                yield PatchWarning(
+                    kind=WarningKind.CUTS_FLOWS,
+                    path=f"/services/{name}/targets/{key}",
+                    detail="the target is active; set it draining first",
+                )
+
+
+def _moved_addresses(old: Configuration, new: Configuration) -> Iterator[PatchWarning]:
+    """Warn of public addresses that change or disappear."""
+    for name, service in old.services.items():
+        after = new.services.get(name)
+        if after is service:
+            continue
+        addresses = {} if after is None else after.addresses
+        for key, address in service.addresses.items():
+            if addresses.get(key) != address:
+                yield PatchWarning(
+                    kind=WarningKind.MOVES_ADDRESS,
+                    path=f"/services/{name}/addresses/{key}",
+                    detail="flows that came to the old address lose it",
+                )
+
+
+def _inactive_services(
+    old: Configuration, new: Configuration
+) -> Iterator[PatchWarning]:
+    """Warn of services that cannot take new flows."""
+    for name, _, service in _changed_services(old, new):
+        states = {target.state for target in service.targets.values()}
+        if TargetState.ACTIVE not in states:
+            yield PatchWarning(
+                kind=WarningKind.NO_ACTIVE_TARGET,
+                path=f"/services/{name}/targets",
+                detail="no target is active; new flows find none",
+            )
+
+
+def _missing_routes(old: Configuration, new: Configuration) -> Iterator[PatchWarning]:
+    """Warn of services whose routes do not cover every path."""
+    for name, _, service in _changed_services(old, new):
+        if all(route.prefix != "/" for route in service.rules.routes):
+            yield PatchWarning(
+                kind=WarningKind.NO_DEFAULT_ROUTE,
+                path=f"/services/{name}/rules/routes",
+                detail="no route has the prefix /; other paths match none",
+            )
+
+
+def _shared_agents(old: Configuration, new: Configuration) -> Iterator[PatchWarning]:
+    """Warn of agents that two services name; an agent serves one."""
+    changed = {name for name, _, _ in _changed_services(old, new)}
+    owners: dict[tuple[str, int], str] = {}
+    for name, service in new.services.items():
+        for key, target in service.targets.items():
+            endpoint = target.agent_host, target.agent_port
+            owner = owners.setdefault(endpoint, name)
+            if owner != name and changed & {owner, name}:
+                yield PatchWarning(
+                    kind=WarningKind.SHARED_AGENT,
+                    path=f"/services/{name}/targets/{key}",
+                    detail=f"service {owner} names the same agent",
+                )
+
+
+CHECKS: tuple[Check, ...] = (
+    _cut_flows,
+    _moved_addresses,
+    _inactive_services,
+    _missing_routes,
+    _shared_agents,
+)
+
+
+def check_patch(
+    configuration: Configuration, in_force: int, entry: Entry
+) -> PatchReport:
+    """Return the verdict on ``entry``, what it would change and what it risks.
+
+    Parameters
+    ----------
+    configuration : Configuration
+        The configuration in force.
+    in_force : int
+        Its version.
+    entry : Entry
+        The entry as it would stand in the log.
+    """
+    judgement = judge(configuration, in_force, entry)
+    if not judgement.is_in_force:
+        return PatchReport(judgement=judgement)
+    successor = judgement.configuration
+    warnings = [
+        warning for check in CHECKS for warning in check(configuration, successor)
+    ]
+    return PatchReport(
+        judgement=judgement,
+        changes=diff_configurations(configuration, successor),
+        warnings=tuple(warnings),
+    )
--- a/tests/fakes_config.py
+++ b/tests/fakes_config.py
@@ -21,12 +21,13 @@
     return {**plain, **members}
 
 
-def service(number, *, targets=3, **members):
+def service(number, *, targets=3, agent_ports=9000, **members):
     """Return a service with some targets as the platform writes it."""
+    numbers = range(1, targets + 1)
     plain = {
         "number": number,
         "addresses": {"main": {"host": "192.0.2.1", "port": 400 + number}},
-        "targets": {f"t-{i}": target(i) for i in range(1, targets + 1)},
+        "targets": {f"t-{i}": target(i, agent_port=agent_ports + i) for i in numbers},
     }
     return {**plain, **members}
 
@@ -46,4 +47,4 @@
     return Entry(number=number, base=base, patch=operations, actor=actor)
 
 
-TWO_SERVICES = configuration(orders=service(1), intake=service(2))
+TWO_SERVICES = configuration(orders=service(1), intake=service(2, agent_ports=7000))
--- /dev/null
+++ b/tests/test_config_platform.py
@@ -0,0 +1,398 @@
+"""Tests of the platform client against the stand-in."""
+
+from contextlib import asynccontextmanager
+from random import Random
+from socket import socket
+
+import pytest
+import trio
+from httpx import ASGITransport, AsyncBaseTransport, AsyncByteStream, Response
+from msgspec import structs
+from trio.testing import MockClock
+
+from balsamtide.config.entries import malformed_entry
+from balsamtide.config.holder import ConfigurationHolder
+from balsamtide.config.pacing import Backoff, ReadBudget
+from balsamtide.config.platform_client import HttpPlatform
+from balsamtide.config.port import Instance, InstanceState, PlatformError
+from balsamtide.config.snapshot import (
+    SnapshotError,
+    SnapshotFault,
+    join_snapshot,
+    split_snapshot,
+)
+from balsamtide.protocol.messages import Endpoint
+from balsamtide.telemetry.memory_sink import MemorySink
+from bench.standins.platform import PlatformStandin
+from tests.fakes_config import operation, service
+
+ORDERS = operation("add", "/services/orders", service(1))
+WEIGHT = "/services/orders/targets/t-1/weight"
+AGENT = Instance(
+    name="agent-1",
+    role="agent",
+    region="region-1",
+    zone="zone-a",
+    inner=Endpoint("10.0.0.1", 9000),
+    rpc=Endpoint("10.0.0.1", 9001),
+)
+CALLS = {
+    "newest": lambda platform: platform.newest(),
+    "entries": lambda platform: platform.entries(0),
+    "watch": lambda platform: platform.watch(0, 1.0),
+    "snapshot": lambda platform: platform.snapshot(),
+    "instances": lambda platform: platform.instances(),
+}
+EVERY_CALL = pytest.mark.parametrize("call", CALLS.values(), ids=CALLS)
+
+
+def new_standin(**options):
+    """Return a stand-in with one entry and a snapshot of it."""
+    standin = PlatformStandin(**options)
+    standin.publish([ORDERS])
+    standin.take_snapshot()
+    return standin
+
+
+@asynccontextmanager
+async def connected(standin):
+    """Connect a client to a stand-in without sockets."""
+    transport = ASGITransport(app=standin.application)
+    async with HttpPlatform("http://platform", transport=transport) as platform:
+        yield platform
+
+
+def run(test, *arguments):
+    """Run a test in virtual time."""
+    return trio.run(test, *arguments, clock=MockClock(autojump_threshold=0))
+
+
+def new_holder():
+    """Return an empty holder."""
+    return ConfigurationHolder(sink=MemorySink())
+
+
+def test_all_calls_over_a_socket():
+    """Every call gives over TCP what the stand-in holds."""
+
+    async def test():
+        standin = new_standin()
+        async with trio.open_nursery() as nursery:
+            url = await nursery.start(standin.serve)
+            standin.list_instance(AGENT)
+            async with HttpPlatform(url) as platform:
+                assert await platform.newest() == 1
+                (entry,) = await platform.entries(0)
+                assert entry.patch == (ORDERS,)
+                assert await platform.watch(0, 1.0) == (entry,)
+                assert await platform.snapshot() == standin.holder.snapshot()
+                assert await platform.instances() == (AGENT,)
+            nursery.cancel_scope.cancel()
+        assert standin.reads == 6
+
+    trio.run(test)
+
+
+def test_watch_ends_with_the_next_entry():
+    """A watch waits until an entry is published."""
+
+    async def test():
+        standin = new_standin()
+        async with connected(standin) as platform, trio.open_nursery() as nursery:
+
+            async def publish():
+                await trio.sleep(7)
+                standin.publish([])
+
+            nursery.start_soon(publish)
+            started = trio.current_time()
+            (entry,) = await platform.watch(1, 20.0)
+            assert trio.current_time() - started == pytest.approx(7)
+            assert entry.number == 2
+
+    run(test)
+
+
+def test_watch_without_entries_ends_at_its_timeout():
+    """A watch returns nothing at its timeout, and counts as one read."""
+
+    async def test():
+        standin = new_standin()
+        async with connected(standin) as platform:
+            started = trio.current_time()
+            assert await platform.watch(1, 20.0) == ()
+            assert trio.current_time() - started == pytest.approx(20)
+        assert standin.reads == 1
+
+    run(test)
+
+
+@EVERY_CALL
+@pytest.mark.parametrize(
+    "fault",
+    [
+        {"is_out": True},
+        {"delay_s": 60.0},
+        {"garbage": b""},
+        {"garbage": b"\xff\xfe"},
+        {"garbage": b"null"},
+        {"garbage": b'[{"name": 1}]'},
+        {"garbage": b"[" * 100_000},
+        {"garbage": b"[" + b" " * 70_000_000 + b"]"},
+    ],
+    ids=["out", "slow", "empty", "octets", "null", "type", "nested", "oversized"],
+)
+def test_every_failure_is_a_platform_error(call, fault):
+    """Each call turns each kind of failure into the one typed error, in time."""
+
+    async def test():
+        standin = new_standin()
+        for name, value in fault.items():
+            setattr(standin, name, value)
+        async with connected(standin) as platform:
+            started = trio.current_time()
+            with pytest.raises(PlatformError):
+                await call(platform)
+            assert trio.current_time() - started <= 6.0
+
+    run(test)
+
+
+@EVERY_CALL
+def test_refused_connection_is_a_platform_error(call):
+    """A platform that nobody serves is down."""
+
+    async def test():
+        with socket() as unused:
+            unused.bind(("127.0.0.1", 0))
+            port = unused.getsockname()[1]
+            async with HttpPlatform(f"http://127.0.0.1:{port}") as platform:
+                with pytest.raises(PlatformError):
+                    await call(platform)
+
+    trio.run(test)
+
+
+class Trickle(AsyncBaseTransport, AsyncByteStream):
+    """Answers with one octet a second, for ever."""
+
+    async def handle_async_request(self, request):
+        """Start an answer that does not end."""
+        return Response(200, stream=self)
+
+    async def __aiter__(self):
+        """Give one octet a second."""
+        while True:
+            await trio.sleep(1)
+            yield b" "
+
+
+@EVERY_CALL
+def test_answer_that_does_not_end_is_a_platform_error(call):
+    """An answer that trickles for longer than the timeout is given up."""
+
+    async def test():
+        async with HttpPlatform("http://platform", transport=Trickle()) as platform:
+            with pytest.raises(PlatformError):
+                await call(platform)
+            assert trio.current_time() <= 7.0
+
+    trio.run(test, clock=MockClock(autojump_threshold=0))
+
+
+@pytest.mark.parametrize("base", ["", "platform", "http://[::", "ftp://platform"])
+def test_unusable_base_is_a_platform_error(base):
+    """A base URL that cannot be called fails like a platform that is down."""
+
+    async def test():
+        async with HttpPlatform(base) as platform:
+            with pytest.raises(PlatformError):
+                await platform.newest()
+
+    trio.run(test)
+
+
+@pytest.mark.parametrize("length", [0, 1, 3, 5])
+def test_older_log_never_lowers_the_version(length):
+    """A platform that restarts with an older log changes nothing that is held."""
+
+    async def test():
+        standin = new_standin()
+        for weight in (10, 20, 30, 40):
+            standin.publish([operation("add", WEIGHT, weight)])
+        holder = new_holder()
+        async with connected(standin) as platform:
+            entries = await platform.entries(0)
+            holder.offer_entries(entries, source="platform", now=0.0)
+            before = holder.held
+            assert before.in_force == 5
+            standin.restart_with(length)
+            standin.take_snapshot()
+            assert await platform.newest() == length
+            assert await platform.entries(5) == ()
+            entries = await platform.entries(0)
+            holder.offer_entries(entries, source="platform", now=1.0)
+            snapshot = await platform.snapshot()
+            assert not holder.offer_snapshot(snapshot, source="platform", now=1.0)
+        assert holder.held is before
+        assert holder.conflicts == 0
+
+    run(test)
+
+
+def test_stale_replica_serves_a_part_of_the_log():
+    """A stale replica serves less, and the holder goes on when it catches up."""
+
+    async def test():
+        standin = new_standin()
+        standin.publish([])
+        standin.served_limit = 1
+        holder = new_holder()
+        async with connected(standin) as platform:
+            assert await platform.newest() == 1
+            entries = await platform.entries(0)
+            holder.offer_entries(entries, source="platform", now=0.0)
+            assert holder.held.number == 1
+            standin.served_limit = None
+            entries = await platform.entries(1)
+            holder.offer_entries(entries, source="platform", now=1.0)
+            assert holder.held.number == 2
+
+    run(test)
+
+
+def test_unusable_entry_is_held_and_the_log_goes_on():
+    """An entry that the platform serves broken is rejected; the next is in force."""
+
+    async def test():
+        standin = new_standin()
+        standin.publish_raw(b'{"number": 2, "patch": "none"}')
+        standin.publish([operation("add", WEIGHT, 7)])
+        async with connected(standin) as platform:
+            entries = await platform.entries(0)
+        assert entries[1] == malformed_entry(2)
+        holder = new_holder()
+        judgements = holder.offer_entries(entries, source="platform", now=0.0)
+        assert [item.is_in_force for item in judgements] == [True, False, True]
+        assert holder.held == standin.holder.held
+
+    run(test)
+
+
+def test_instances_lag():
+    """A change of the list of instances is served after the lag."""
+
+    async def test():
+        standin = new_standin(instance_lag_s=10.0)
+        standin.list_instance(AGENT)
+        async with connected(standin) as platform:
+            assert await platform.instances() == ()
+            await trio.sleep(10)
+            assert await platform.instances() == (AGENT,)
+            standin.list_leaving("agent-1")
+            (lagging,) = await platform.instances()
+            assert lagging.state is InstanceState.LIVE
+            await trio.sleep(10)
+            (leaving,) = await platform.instances()
+            assert leaving.state is InstanceState.LEAVING
+
+    run(test)
+
+
+def test_snapshot_travels_in_pieces():
+    """A snapshot larger than a piece is joined from several reads."""
+
+    async def test():
+        standin = new_standin(max_piece_bytes=100)
+        async with connected(standin) as platform:
+            assert await platform.snapshot() == standin.holder.snapshot()
+        assert standin.reads > 5
+
+    run(test)
+
+
+SNAPSHOT = new_standin().holder.snapshot()
+PARTS = split_snapshot(SNAPSHOT, max_piece_bytes=300)
+
+
+@pytest.mark.parametrize(
+    ("changes", "pieces", "fault"),
+    [
+        ({"number": -1}, PARTS.pieces, SnapshotFault.MANIFEST),
+        ({"in_force": 2}, PARTS.pieces, SnapshotFault.MANIFEST),
+        ({"chain": "xy"}, PARTS.pieces, SnapshotFault.MANIFEST),
+        ({"chain": "00"}, PARTS.pieces, SnapshotFault.MANIFEST),
+        ({"pieces": 0}, (), SnapshotFault.PIECE_COUNT),
+        ({"pieces": 65}, PARTS.pieces, SnapshotFault.PIECE_COUNT),
+        ({}, PARTS.pieces[:-1], SnapshotFault.PIECE_COUNT),
+        ({"pieces": 1}, (bytes(1_000_001),), SnapshotFault.PIECE_SIZE),
+        ({}, PARTS.pieces[::-1], SnapshotFault.CHECKSUM),
+        ({"checksum": "0"}, PARTS.pieces, SnapshotFault.CHECKSUM),
+        (
+            {
+                "pieces": 1,
+                "checksum": "4f53cda18c2baa0c0354bb5f9a3ecbe5"
+                "ed12ab4d8e11ba873c2f11161202b945",
+            },
+            (b"[]",),
+            SnapshotFault.CONTENT,
+        ),
+    ],
+)
+def test_bad_pieces_name_their_fault(changes, pieces, fault):
+    """Pieces that do not make a snapshot are refused for the right reason."""
+    manifest = structs.replace(PARTS.manifest, **changes)
+    with pytest.raises(SnapshotError) as caught:
+        join_snapshot(manifest, pieces)
+    assert caught.value.fault is fault
+
+
+@pytest.mark.parametrize("size", [1, 300, 1_000_000])
+def test_pieces_make_the_snapshot_again(size):
+    """A snapshot that was split is joined again, whatever the size of the pieces."""
+    snapshot = SNAPSHOT if size > 1 else new_holder().snapshot()
+    parts = split_snapshot(snapshot, max_piece_bytes=size)
+    assert join_snapshot(parts.manifest, parts.pieces) == snapshot
+
+
+@pytest.mark.parametrize(
+    ("times", "taken"),
+    [
+        ((0, 0, 0, 0), (True, True, False, False)),
+        ((0, 0, 0, 0.5, 0.5), (True, True, False, True, False)),
+        ((0, 0, 100, 100, 100), (True, True, True, True, False)),
+        ((0, 0, -5, 0.1, 0.5), (True, True, False, False, True)),
+    ],
+)
+def test_read_budget_limits_calls(times, taken):
+    """Calls beyond the burst wait for the rate, and a clock step back gives none."""
+    budget = ReadBudget(per_second=2.0, burst=2.0, now=0.0)
+    assert tuple(budget.take(float(now)) for now in times) == taken
+
+
+def test_read_budget_tells_when_it_is_ready():
+    """At the time that the budget names a call can be taken, not before."""
+    budget = ReadBudget(per_second=2.0, burst=1.0, now=10.0)
+    assert budget.ready_at(10.0) == 10.0
+    assert budget.take(10.0)
+    assert budget.ready_at(10.0) == 10.5
+    assert not budget.take(10.4)
+    assert budget.take(budget.ready_at(10.4))
+
+
+@pytest.mark.parametrize(("per_second", "burst"), [(0.0, 1.0), (-1.0, 1.0), (1.0, 0)])
+def test_read_budget_needs_sense(per_second, burst):
+    """A budget that could never give a call is an error."""
+    with pytest.raises(ValueError, match="positive rate"):
+        ReadBudget(per_second=per_second, burst=burst, now=0.0)
+
+
+def test_backoff_doubles_with_jitter_up_to_its_limit():
+    """Each failure doubles the longest delay, jitter takes up to a half off."""
+    backoff = Backoff(random=Random(1), first_delay_s=1.0, max_delay_s=10.0)
+    delays = [backoff.failed(100.0) - 100.0 for _ in range(60)]
+    for delay, longest in zip(delays, [1, 2, 4, 8] + [10] * 56, strict=True):
+        assert longest / 2 <= delay <= longest
+    assert len(set(delays)) == 60
+    backoff.succeeded()
+    assert backoff.failed(0.0) <= 1.0
