Add platform reader task, bulk state over RPC and tests of liveness

The reader survives a platform that is down, slow or older; bulk state serves joiners and entries that do not fit a datagram. Tables cover pauses of the observer, partitions, the loss of a zone, refutation, thresholds and leaving.

--- /dev/null
+++ b/src/balsamtide/membership/joining.py
@@ -0,0 +1,110 @@
+"""The task that fetches bulk state: at the start, and when datagrams do not do."""
+
+from collections.abc import Awaitable, Callable, Sequence
+from random import Random
+from ssl import SSLContext
+
+import trio
+
+from balsamtide.config.port import Instance
+from balsamtide.membership.events import STATE_FETCH_FAILED, STATE_FETCHED
+from balsamtide.membership.membership import Membership
+from balsamtide.membership.readers import SnapshotLog
+from balsamtide.membership.state_rpc import State, StateError, fetch_state
+from balsamtide.protocol.actions import Send
+
+__all__ = ["BulkFetcher", "Fetch", "make_fetch"]
+
+Fetch = Callable[[Instance, int, float], Awaitable[State]]
+
+FETCH_TIMEOUT_S = 5.0
+# Peers asked by a joiner before it leaves the rest to the epidemic and the platform.
+JOIN_ATTEMPTS = 4
+CHECK_S = 0.2
+# Wait after a failed fetch, jittered.
+RETRY_S = 1.0
+
+
+def make_fetch(ssl: SSLContext | None = None) -> Fetch:
+    """Return a fetch over grpclib."""
+
+    async def fetch(peer: Instance, after: int, deadline: float) -> State:
+        return await fetch_state(peer.rpc, after=after, deadline=deadline, ssl=ssl)
+
+    return fetch
+
+
+class BulkFetcher:
+    """Fetches bulk state for one process.
+
+    Parameters
+    ----------
+    membership : Membership
+        Tells from whom to fetch, takes the marks.
+    log : SnapshotLog
+        Takes entries or the snapshot.
+    fetch : callable
+        Fetches the state of a peer.
+    deliver : callable
+        Takes what is to be sent to peers; must not block.
+    random : Random
+        Source of jitter and of the peers asked.
+    """
+
+    def __init__(
+        self,
+        membership: Membership,
+        *,
+        log: SnapshotLog,
+        fetch: Fetch,
+        deliver: Callable[[Sequence[Send]], None],
+        random: Random,
+    ) -> None:
+        self.membership = membership
+        self.log = log
+        self.fetch = fetch
+        self.deliver = deliver
+        self.random = random
+
+    async def join(self) -> bool:
+        """Ask a few peers for their state; return whether one gave it."""
+        peers = list(self.membership.peers())
+        self.random.shuffle(peers)
+        for peer in peers[:JOIN_ATTEMPTS]:
+            if await self._fetch_from(peer):
+                return True
+        return False
+
+    async def run(self) -> None:
+        """Fetch whenever membership needs it, until cancelled."""
+        while True:
+            peer = self.membership.bulk_peer()
+            if peer is None:
+                await trio.sleep(CHECK_S)
+            elif not await self._fetch_from(peer):
+                await trio.sleep(RETRY_S * (0.5 + self.random.random()))
+
+    async def _fetch_from(self, peer: Instance) -> bool:
+        deadline = trio.current_time() + FETCH_TIMEOUT_S
+        sink = self.membership.sink
+        try:
+            state = await self.fetch(peer, self.log.held.number, deadline)
+        except StateError as error:
+            sink.event(STATE_FETCH_FAILED, peer=peer.name, error=str(error))
+            return False
+        self._take(state, peer)
+        sink.event(STATE_FETCHED, peer=peer.name, number=state.number)
+        return True
+
+    def _take(self, state: State, peer: Instance) -> None:
+        now = trio.current_time()
+        source = f"peer:{peer.name}"
+        if state.entries:
+            self.log.offer_entries(state.entries, source=source, now=now)
+        if state.snapshot is not None:
+            self.log.offer_snapshot(state.snapshot, source=source, now=now)
+        sends = [
+            *self.membership.receive_marks(state.marks, now),
+            *self.membership.entries_arrived(now),
+        ]
+        self.deliver(sends)
--- a/src/balsamtide/membership/membership.py
+++ b/src/balsamtide/membership/membership.py
@@ -403,6 +403,22 @@
         """Whether this process reads the platform for its zone."""
         return self.reader_lease.is_reader
 
+    def note_read(self, is_read: bool) -> None:
+        """Take the outcome of a read of the platform by this process."""
+        self.reader_lease.note_read(is_read)
+
+    def receive_marks(self, marks: Sequence[Mark], now: float) -> Sequence[Send]:
+        """Take marks that came with bulk state; they are not passed on."""
+        self.now = now
+        fresh = [mark for mark in marks if self.table.merge(mark, now=now)]
+        sends = self._refute(fresh, now)
+        self._after_change(now)
+        return self._counted(sends)
+
+    def marks(self, now: float) -> tuple[Mark, ...]:
+        """Return the claims held, for bulk state."""
+        return self.table.to_marks(now)
+
     def bulk_peer(self) -> Instance | None:
         """Return the peer to fetch bulk state from, if that is needed now."""
         source = self.epidemic.bulk_source
--- a/src/balsamtide/membership/reader_lease.py
+++ b/src/balsamtide/membership/reader_lease.py
@@ -105,6 +105,10 @@
         remaining_us = int(self.limits.reader_lease_s * MICROSECONDS)
         return Mark(self.subject, READER, self.own.name, 0, remaining_us)
 
+    def note_read(self, is_read: bool) -> None:
+        """Count failures in a row of the own reads."""
+        self.failures = 0 if is_read else self.failures + 1
+
     def _consider_stopping(self, now: float) -> None:
         better = sum(1 for name in self.leases if self.weight(name) > self.own_weight)
         wanted = self.limits.readers_per_zone
--- /dev/null
+++ b/src/balsamtide/membership/readers.py
@@ -0,0 +1,230 @@
+"""The task that reads the platform while this process holds a reader lease.
+
+The platform may be down, slow, restarted with an older log or wrong about its newest
+entry, for ever: the log held is never lowered, and the task never ends by itself.
+"""
+
+from collections.abc import Awaitable, Callable, Sequence
+from random import Random
+from typing import Protocol
+
+import trio
+
+from balsamtide.config.port import PlatformError, PlatformPort, Snapshot
+from balsamtide.membership.events import PLATFORM_FAILED, PLATFORM_OLDER
+from balsamtide.membership.log import EntryLog
+from balsamtide.membership.membership import Membership
+from balsamtide.membership.metrics import PLATFORM_READS
+from balsamtide.membership.pacing import ListPeriod
+from balsamtide.protocol.actions import Send
+from balsamtide.protocol.messages import Entry
+
+__all__ = ["PlatformReader", "SnapshotLog", "read_platform"]
+
+# Time that one watch waits at the platform.
+WATCH_S = 25.0
+# Time after which a read counts as failed, beyond its own waiting.
+READ_TIMEOUT_S = 5.0
+# Least time between reads that brought nothing, for a platform that does not wait.
+IDLE_READ_S = 1.0
+# How often a process that is not a reader looks whether it has become one.
+LEASE_CHECK_S = 0.25
+# The same for the wait between two reads of the list.
+LIST_CHECK_S = 0.5
+# Time between checks of what the platform calls its newest entry.
+NEWEST_CHECK_S = 60.0
+# Entries missed from which on a snapshot is read instead.
+SNAPSHOT_GAP = 500
+# Failed reads of entries after which a snapshot is tried.
+SNAPSHOT_FAILURES = 2
+SHORTEST_BACKOFF_S = 0.5
+LONGEST_BACKOFF_S = 30.0
+
+
+class SnapshotLog(EntryLog, Protocol):
+    """A log that also takes snapshots."""
+
+    def offer_snapshot(self, snapshot: Snapshot, *, source: str, now: float) -> bool:
+        """Adopt a snapshot that lies ahead; return whether it was adopted."""
+
+
+class PlatformReader:
+    """Reads entries while it is this process's turn, and the list at all times.
+
+    Parameters
+    ----------
+    membership : Membership
+        Decides whether this process reads; told of what arrives.
+    log : SnapshotLog
+        Takes entries and snapshots.
+    platform : PlatformPort
+        The platform.
+    deliver : callable
+        Takes what is to be sent to peers.
+    random : Random
+        Source of jitter.
+    """
+
+    def __init__(
+        self,
+        membership: Membership,
+        *,
+        log: SnapshotLog,
+        platform: PlatformPort,
+        deliver: Callable[[Sequence[Send]], None],
+        random: Random,
+    ) -> None:
+        self.membership = membership
+        self.log = log
+        self.platform = platform
+        self.deliver = deliver
+        self.random = random
+        self.list_period = ListPeriod(random)
+        self.instances = 0
+        self.failures = 0
+        self.is_older = False
+        self.newest = 0
+        self.next_newest_check = float("-inf")
+
+    async def run(self) -> None:
+        """Read until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._read_entries)
+            nursery.start_soon(self._read_instances)
+
+    async def _read_entries(self) -> None:
+        while True:
+            if not self.membership.is_reader:
+                self.failures = 0
+                self.next_newest_check = float("-inf")
+                await trio.sleep(LEASE_CHECK_S)
+                continue
+            before = self.log.held.number
+            started = trio.current_time()
+            is_read = await self._try("entries", self._read_once)
+            self.membership.note_read(is_read)
+            self.failures = 0 if is_read else self.failures + 1
+            if not is_read:
+                await self._recover()
+                await trio.sleep(self._backoff_s(self.failures))
+            elif self.log.held.number == before:
+                await trio.sleep_until(started + IDLE_READ_S)
+
+    async def _recover(self) -> None:
+        """Read a snapshot after a failed read, where the log has gone on."""
+        if (
+            self.failures % SNAPSHOT_FAILURES == 0
+            and self.newest > self.log.held.number
+        ):
+            await self._try("snapshot", self._read_snapshot)
+
+    async def _try(self, kind: str, read: Callable[[], Awaitable[None]]) -> bool:
+        """Do one read; a failure of any sort is reported and survived."""
+        sink = self.membership.sink
+        try:
+            await read()
+        except (PlatformError, trio.TooSlowError, ValueError, OSError) as error:
+            sink.event(PLATFORM_FAILED, error=f"{kind}: {error!r}"[:200])
+            sink.count(PLATFORM_READS, kind=kind, outcome="failed")
+            return False
+        sink.count(PLATFORM_READS, kind=kind, outcome="ok")
+        return True
+
+    def _backoff_s(self, failures: int) -> float:
+        longest_s = min(LONGEST_BACKOFF_S, SHORTEST_BACKOFF_S * 2 ** min(failures, 8))
+        return longest_s * (0.5 + 0.5 * self.random.random())
+
+    async def _read_once(self) -> None:
+        if trio.current_time() >= self.next_newest_check:
+            await self._check_newest()
+        if self.newest - self.log.held.number >= SNAPSHOT_GAP:
+            await self._read_snapshot()
+        held = self.log.held.number
+        with trio.fail_after(WATCH_S + READ_TIMEOUT_S):
+            entries = await self.platform.watch(held, WATCH_S)
+        if entries and entries[0].number > held + 1:
+            await self._read_snapshot()
+        self._take(entries)
+
+    async def _check_newest(self) -> None:
+        with trio.fail_after(READ_TIMEOUT_S):
+            newest = await self.platform.newest()
+        self.next_newest_check = trio.current_time() + NEWEST_CHECK_S
+        self.newest = newest
+        held = self.log.held.number
+        is_older = newest < held
+        if is_older and not self.is_older:
+            self.membership.sink.event(PLATFORM_OLDER, platform=newest, held=held)
+        self.is_older = is_older
+
+    async def _read_snapshot(self) -> None:
+        with trio.fail_after(READ_TIMEOUT_S):
+            snapshot = await self.platform.snapshot()
+        now = trio.current_time()
+        self.log.offer_snapshot(snapshot, source="platform", now=now)
+        self.deliver(self.membership.entries_arrived(now))
+
+    def _take(self, entries: Sequence[Entry]) -> None:
+        if not entries:
+            return
+        now = trio.current_time()
+        self.log.offer_entries(entries, source="platform", now=now)
+        self.deliver(self.membership.entries_arrived(now))
+
+    async def _read_instances(self) -> None:
+        failures = 0
+        while True:
+            is_read = await self._try("instances", self._read_list)
+            failures = 0 if is_read else failures + 1
+            if is_read:
+                await self._wait_for_list_period()
+            else:
+                await trio.sleep(self._backoff_s(failures))
+
+    async def _wait_for_list_period(self) -> None:
+        """Wait for the next read; becoming a reader cuts the wait short."""
+        started = trio.current_time()
+        period_s = self.list_period.seconds(self.instances, is_reader=False)
+        while trio.current_time() < started + period_s:
+            await trio.sleep(min(LIST_CHECK_S, period_s))
+            if self.membership.is_reader:
+                reader_s = self.list_period.seconds(self.instances, is_reader=True)
+                period_s = min(period_s, reader_s)
+
+    async def _read_list(self) -> None:
+        with trio.fail_after(READ_TIMEOUT_S):
+            instances = await self.platform.instances()
+        self.instances = len(instances)
+        if not instances:
+            return
+        sends = self.membership.update_instances(instances, trio.current_time())
+        self.deliver(sends)
+
+
+async def read_platform(
+    membership: Membership,
+    *,
+    log: SnapshotLog,
+    platform: PlatformPort,
+    deliver: Callable[[Sequence[Send]], None],
+    random: Random,
+) -> None:
+    """Read the platform for ``membership`` until cancelled.
+
+    Parameters
+    ----------
+    membership : Membership
+        Decides whether this process reads; told of what arrives.
+    log : SnapshotLog
+        Takes entries and snapshots.
+    platform : PlatformPort
+        The platform.
+    deliver : callable
+        Takes what is to be sent to peers; must not block.
+    random : Random
+        Source of jitter.
+    """
+    reader = PlatformReader(
+        membership, log=log, platform=platform, deliver=deliver, random=random
+    )
+    await reader.run()
--- /dev/null
+++ b/tests/test_membership_liveness.py
@@ -0,0 +1,356 @@
+"""Mutual observation, marks and their limits."""
+
+from collections.abc import Callable
+
+import pytest
+
+from balsamtide.config.model import Configuration, Service, Target
+from balsamtide.config.port import Instance, InstanceState
+from balsamtide.membership import MembershipLimits
+from balsamtide.membership.events import CUT_OFF, MARK_MADE, PAUSED, REFUTED
+from balsamtide.membership.marks import (
+    ALIVE,
+    LEAVING,
+    PLATFORM,
+    SUSPECT,
+    MarkTable,
+    split_marks,
+)
+from balsamtide.membership.silence import Silence, Watched, judge_silence
+from balsamtide.protocol.messages import Mark
+from bench.standins.members import Fleet, FleetRules, Member, make_instances
+from tests.fakes_membership import FakeLog
+
+LIMITS = MembershipLimits()
+
+
+def make_target(number: int, instance: Instance) -> Target:
+    """Return the target beside an agent."""
+    return Target(
+        number=number,
+        zone=instance.zone,
+        host="10.9.0.1",
+        port=80,
+        agent_host=instance.inner.host,
+        agent_port=instance.inner.port,
+        agent_rpc_port=instance.rpc.port,
+    )
+
+
+def make_service_fleet(size: int, *, services: int = 1, **rules: object) -> Fleet:
+    """Return agents that serve ``services`` services in three zones."""
+    instances = make_instances(size)
+    each = size // services
+    groups = [instances[start : start + each] for start in range(0, size, each)]
+    configuration = Configuration(
+        services={
+            f"s{number}": Service(
+                number=number + 1,
+                targets={
+                    f"t{number}-{place}": make_target(place + 1, instance)
+                    for place, instance in enumerate(group)
+                },
+            )
+            for number, group in enumerate(groups)
+        }
+    )
+    return Fleet(
+        instances,
+        make_log=lambda sink: FakeLog(configuration),
+        rules=FleetRules(**rules),  # type: ignore[arg-type]
+    )
+
+
+def live(fleet: Fleet) -> list[Member]:
+    """Return all members that were not killed."""
+    return [each for each in fleet.members.values() if not each.is_dead]
+
+
+def eligible(fleet: Fleet, name: str) -> list[bool]:
+    """Return what each live member says of ``name``."""
+    zone = fleet.members[name].instance.zone
+    return [
+        each.membership.is_eligible(name, zone, fleet.now)
+        for each in live(fleet)
+        if each.instance.name != name
+    ]
+
+
+def made(fleet: Fleet) -> set[str]:
+    """Return the subjects that were claimed to be suspect."""
+    return suspected(*fleet.members.values())
+
+
+def suspected(*members: Member) -> set[str]:
+    """Return the subjects that these members claimed to be suspect."""
+    return {
+        fields["subject"]
+        for member in members
+        for event, fields in member.sink.events
+        if event is MARK_MADE and fields["kind"] == SUSPECT
+    }
+
+
+def has_event(member: Member, event: object) -> bool:
+    """Tell whether a member reported ``event``."""
+    return any(each is event for each, _ in member.sink.events)
+
+
+def watch(text: str) -> list[Watched]:
+    """Return partners from ``"a+ b- b-"``: zone, and whether it is heard."""
+    return [
+        Watched(f"{word[:-1]}{place}", word[:-1], word[-1] == "-")
+        for place, word in enumerate(text.split())
+    ]
+
+
+@pytest.mark.parametrize(
+    ("partners", "witnesses", "expected"),
+    [
+        ("a+ b+ c+", "", Silence()),
+        ("a+ b+ b- c+", "", Silence(members=frozenset({"b2"}))),
+        ("a- b- c-", "", Silence(is_cut_off=True)),
+        ("a+ a+ b- b- c- c-", "", Silence(is_cut_off=True)),
+        ("a+ b- b- c+ c+", "", Silence(zones=frozenset({"b"}))),
+        ("a+ b- c+", "", Silence(members=frozenset({"b1"}))),
+        ("a+ b- c+", "b- b-", Silence(zones=frozenset({"b"}))),
+        ("a+ b- c+", "b+", Silence(members=frozenset({"b1"}))),
+        ("a+ a+ b- b-", "", Silence(is_cut_off=True)),
+        ("a+ a- a- a-", "", Silence(is_cut_off=True)),
+        ("a+ a+ a-", "", Silence(members=frozenset({"a2"}))),
+        ("a+ a- b- b- c+ c+", "", Silence(False, frozenset("b"), frozenset({"a1"}))),
+        ("", "", Silence()),
+    ],
+)
+def test_silence_is_judged(partners: str, witnesses: str, expected: Silence) -> None:
+    """Silence means failed members, one lost zone, or the observer's isolation."""
+    found = judge_silence("a", watch(partners), watch(witnesses))
+    assert found.is_cut_off == expected.is_cut_off
+    assert found.zones == expected.zones
+    assert found.members == expected.members
+
+
+def mark(
+    kind: str, observer: str, incarnation: int = 5, remaining_s: float = 10.0
+) -> Mark:
+    """Return a mark on the subject ``x``."""
+    return Mark("x", kind, observer, incarnation, int(remaining_s * 1e6))
+
+
+@pytest.mark.parametrize(
+    ("marks", "expected"),
+    [
+        ([mark(SUSPECT, "p")], None),
+        ([mark(SUSPECT, "p"), mark(SUSPECT, "p", 6)], None),
+        ([mark(SUSPECT, "p"), mark(SUSPECT, "q")], SUSPECT),
+        ([mark(SUSPECT, "p"), mark(SUSPECT, "q", remaining_s=0.5)], None),
+        ([mark(SUSPECT, "p"), mark(SUSPECT, "q"), mark(ALIVE, "x", 6)], None),
+        ([mark(ALIVE, "x", 6), mark(SUSPECT, "p"), mark(SUSPECT, "q")], None),
+        ([mark(ALIVE, "x", 5), mark(SUSPECT, "p"), mark(SUSPECT, "q")], SUSPECT),
+        ([mark(LEAVING, "x")], LEAVING),
+        ([mark(LEAVING, "x"), mark(ALIVE, "x", 6)], None),
+        ([mark(LEAVING, PLATFORM, 0), mark(ALIVE, "x", 6)], LEAVING),
+        ([mark("unknown", "p"), mark("unknown", "q")], None),
+    ],
+)
+def test_claims_become_beliefs(marks: list[Mark], expected: str | None) -> None:
+    """Two observers make a suspect, one claim a leaving; a proof of life refutes."""
+    table = MarkTable(LIMITS)
+    for each in marks:
+        table.merge(each, now=0.0)
+    assert table.belief("x", 0.0) == expected
+    table.expire(1000.0)
+    assert table.belief("x", 1000.0) is None
+    assert table.digest() == bytes(8)
+
+
+@pytest.mark.parametrize(
+    ("remaining_s", "staleness_s", "is_news"),
+    [(10.0, 0.0, True), (10.0, 9.5, False), (10.0, 5.0, True), (1e9, 20.0, False)],
+)
+def test_old_claims_are_refused(
+    remaining_s: float, staleness_s: float, is_news: bool
+) -> None:
+    """A claim that waited through a pause counts with its age."""
+    table = MarkTable(LIMITS)
+    claim = mark(SUSPECT, "p", remaining_s=remaining_s)
+    assert table.merge(claim, now=50.0, staleness_s=staleness_s) == is_news
+    assert not table.merge(claim, now=50.0, staleness_s=staleness_s)
+
+
+def test_mark_table_is_bounded() -> None:
+    """A flood of claims does not grow the table beyond its limits."""
+    table = MarkTable(MembershipLimits(marks=10))
+    for number in range(100):
+        for observer in range(10):
+            claim = Mark(f"i{number}", SUSPECT, f"o{observer}", 1, 10_000_000)
+            table.merge(claim, now=0.0)
+    assert len(list(table)) == 10 * LIMITS.kept_observers
+    groups = split_marks(table.to_marks(0.0), 200)
+    assert sum(len(group) for group in groups) == 30
+
+
+@pytest.mark.parametrize("loss", [0.0, 0.01, 0.05])
+def test_dead_member_is_marked_by_two(loss: float) -> None:
+    """A killed agent gets no new work within seconds, and nobody else is marked."""
+    fleet = make_service_fleet(9, loss=loss)
+    fleet.run(5.0)
+    fleet.kill("agent-4")
+    fleet.run(7.0)
+    assert made(fleet) == {"agent-4"}
+    assert not any(eligible(fleet, "agent-4"))
+    observers = {claim.observer for claim in fleet.members["agent-0"].membership.table}
+    assert len(observers) >= 2
+    fleet.run(60.0)
+    assert not any(eligible(fleet, "agent-4"))
+
+
+def test_mark_ends_after_return() -> None:
+    """A member that starts again is eligible long before its marks would expire."""
+    fleet = make_service_fleet(9)
+    fleet.run(2.0)
+    fleet.kill("agent-4")
+    fleet.run(8.0)
+    member = fleet.start(fleet.members["agent-4"].instance)
+    member.log = fleet.members["agent-0"].log
+    fleet.give_list(member)
+    fleet.run(5.0)
+    assert all(eligible(fleet, "agent-4"))
+    assert has_event(member, REFUTED)
+
+
+@pytest.mark.parametrize("pause_s", [2.0, 5.0, 30.0])
+def test_paused_observer_marks_nobody(pause_s: float) -> None:
+    """A member that wakes late distrusts the silence that it did not hear."""
+    fleet = make_service_fleet(9, loss=0.01)
+    fleet.run(3.0)
+    fleet.pause("agent-2", pause_s)
+    fleet.run(pause_s + 5.0)
+    paused = fleet.members["agent-2"]
+    assert has_event(paused, PAUSED)
+    assert suspected(paused) == set()
+    assert made(fleet) <= {"agent-2"}
+    fleet.run(20.0)
+    assert all(eligible(fleet, "agent-2"))
+
+
+def test_short_pause_is_not_marked() -> None:
+    """A pause shorter than the lease marks nobody at all."""
+    fleet = make_service_fleet(30, services=3, loss=0.01)
+    fleet.run(3.0)
+    for number in range(0, 30, 7):
+        fleet.pause(f"agent-{number}", 2.0)
+        fleet.run(4.0)
+    assert made(fleet) == set()
+
+
+def blocks(zone: str) -> Callable[[Instance, Instance], bool]:
+    """Return a partition that isolates ``zone``."""
+    return lambda one, other: (one.zone == zone) != (other.zone == zone)
+
+
+def test_minority_marks_nobody() -> None:
+    """The smaller side of a partition takes itself to be cut off."""
+    fleet = make_service_fleet(27, services=3)
+    fleet.run(3.0)
+    fleet.blocked = blocks("b")
+    fleet.run(15.0)
+    inside = [each for each in live(fleet) if each.instance.zone == "b"]
+    assert all(has_event(each, CUT_OFF) for each in inside)
+    assert suspected(*inside) == set()
+    assert made(fleet) == {"zone:b"}
+    fleet.blocked = None
+    fleet.run(20.0)
+    assert all(eligible(fleet, "agent-1"))
+
+
+@pytest.mark.parametrize("services", [1, 3, 9])
+def test_lost_zone_is_one_subject(services: int) -> None:
+    """A lost zone is marked as a whole, not member by member."""
+    fleet = make_service_fleet(63, services=services)
+    fleet.run(3.0)
+    for member in list(fleet.members.values()):
+        if member.instance.zone == "c":
+            fleet.kill(member.instance.name)
+    fleet.run(10.0)
+    assert made(fleet) == {"zone:c"}
+    assert not any(eligible(fleet, "agent-2"))
+    assert all(eligible(fleet, "agent-0"))
+
+
+@pytest.mark.parametrize(
+    ("killed", "is_ignored"), [(1, False), (2, False), (3, False), (5, True)]
+)
+def test_suspects_never_empty_a_service(killed: int, is_ignored: bool) -> None:
+    """Marks on more than half of a service are ignored."""
+    fleet = make_service_fleet(9)
+    member = fleet.members["agent-0"].membership
+    for number in range(1, 1 + killed):
+        for observer in ("p", "q"):
+            claim = Mark(f"agent-{number}", SUSPECT, observer, 2**33, 10_000_000)
+            member.table.merge(claim, now=fleet.now)
+    zone = fleet.members["agent-1"].instance.zone
+    assert member.is_eligible("agent-1", zone, fleet.now) == is_ignored
+
+
+@pytest.mark.parametrize(("zones", "is_ignored"), [(("b",), False), (("b", "c"), True)])
+def test_zone_marks_never_empty_the_fleet(
+    zones: tuple[str, ...], is_ignored: bool
+) -> None:
+    """Marks on more than half of the zones are ignored."""
+    fleet = make_service_fleet(9)
+    member = fleet.members["agent-0"].membership
+    for zone in zones:
+        for observer in ("p", "q"):
+            claim = Mark(f"zone:{zone}", SUSPECT, observer, 0, 10_000_000)
+            member.table.merge(claim, now=fleet.now)
+    assert member.is_eligible("agent-1", "b", fleet.now) == is_ignored
+
+
+@pytest.mark.parametrize("way", ["announced", "platform"])
+@pytest.mark.parametrize("loss", [0.0, 0.05])
+def test_leaving_reaches_all(way: str, loss: float) -> None:
+    """Within 3 s no reachable member gives new work to a leaving one."""
+    fleet = make_service_fleet(60, services=6, loss=loss)
+    fleet.run(2.0)
+    leaving = fleet.members["agent-7"]
+    if way == "announced":
+        sends = leaving.membership.announce_leaving(fleet.now)
+        fleet.send(leaving, sends)
+    else:
+        listed = [
+            Instance(
+                name=each.name,
+                role=each.role,
+                region=each.region,
+                zone=each.zone,
+                inner=each.inner,
+                rpc=each.rpc,
+                state=InstanceState.LEAVING
+                if each.name == "agent-7"
+                else InstanceState.LIVE,
+            )
+            for each in fleet.instances
+        ]
+        fleet.give_list(fleet.members["agent-1"], listed)
+    fleet.run(3.0)
+    assert not any(eligible(fleet, "agent-7"))
+    assert leaving.membership.status().is_leaving == (way == "announced")
+
+
+def test_everything_is_audited() -> None:
+    """Claims made, believed and ended stand in the audit trail."""
+    fleet = make_service_fleet(9)
+    fleet.run(2.0)
+    fleet.kill("agent-4")
+    fleet.run(8.0)
+    fleet.start(fleet.members["agent-4"].instance)
+    fleet.run(60.0)
+    changes = {
+        (record.subject, record.change)
+        for member in fleet.members.values()
+        for record in member.sink.audits
+        if record.kind == "mark"
+    }
+    expected = {"suspect claimed", "suspect believed", "suspect ended"}
+    assert {change for subject, change in changes if subject == "agent-4"} >= expected
