--- /dev/null
+++ b/tests/test_membership_state.py
@@ -0,0 +1,167 @@
+"""Bulk state over grpclib on loopback."""
+
+from random import Random
+
+import pytest
+import trio
+from grpclib.server import Server
+from trio_asyncio import aio_as_trio, open_loop
+
+from balsamtide.config.port import Instance, Snapshot
+from balsamtide.membership import Membership
+from balsamtide.membership.joining import BulkFetcher, make_fetch
+from balsamtide.membership.state_rpc import (
+    PIECE_BYTES,
+    State,
+    StateError,
+    StateService,
+    fetch_state,
+)
+from balsamtide.protocol.messages import Endpoint, Mark
+from balsamtide.protocol.rpc import RpcCodec
+from balsamtide.telemetry.memory_sink import MemorySink
+from bench.standins.members import make_instances
+from tests.fakes_membership import FakeLog, make_entry
+
+MARKS = (Mark("i", "leaving", "i", 1, 30_000_000),)
+
+
+class SnapshotFakeLog(FakeLog):
+    """A fake log that keeps the snapshots offered to it."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.snapshots: list[Snapshot] = []
+
+    def offer_snapshot(self, snapshot: Snapshot, *, source: str, now: float) -> bool:
+        """Keep it."""
+        self.snapshots.append(snapshot)
+        return True
+
+
+async def serve(service: StateService) -> tuple[Server, Endpoint]:
+    """Serve on a free port."""
+    server = Server([service], codec=RpcCodec())
+    await aio_as_trio(server.start)("127.0.0.1", 0)
+    port = server._server.sockets[0].getsockname()[1]
+    return server, Endpoint("127.0.0.1", port)
+
+
+def filled_log(entries: int, padding: int) -> SnapshotFakeLog:
+    """Return a log with some entries."""
+    log = SnapshotFakeLog()
+    made = [make_entry(number + 1, padding=padding) for number in range(entries)]
+    log.offer_entries(made, source="", now=0.0)
+    return log
+
+
+@pytest.mark.parametrize(
+    ("after", "padding", "entries", "has_snapshot"),
+    [
+        (0, 10, 0, True),
+        (5, 10, 4, False),
+        (5, PIECE_BYTES, 4, False),
+        (9, 10, 0, False),
+    ],
+)
+def test_state_is_fetched(
+    after: int, padding: int, entries: int, has_snapshot: bool
+) -> None:
+    """A joiner gets the snapshot, another the entries it misses, both the marks."""
+
+    async def main() -> State:
+        async with open_loop():
+            service = StateService(filled_log(9, padding), marks=lambda: MARKS)
+            server, endpoint = await serve(service)
+            deadline = trio.current_time() + 10.0
+            state = await fetch_state(endpoint, after=after, deadline=deadline)
+            server.close()
+            await aio_as_trio(server.wait_closed)()
+            assert service.transfers == 0
+            return state
+
+    state = trio.run(main)
+    assert state.number == 9
+    assert len(state.entries) == entries
+    assert (state.snapshot is not None) == has_snapshot
+    assert state.marks == MARKS
+
+
+def test_dead_peer_gives_no_state() -> None:
+    """A peer that does not listen fails the fetch, not the process."""
+
+    async def main() -> None:
+        async with open_loop():
+            deadline = trio.current_time() + 5.0
+            with pytest.raises(StateError):
+                await fetch_state(Endpoint("127.0.0.1", 1), after=0, deadline=deadline)
+
+    trio.run(main)
+
+
+def test_too_many_transfers_are_refused() -> None:
+    """A busy peer refuses at once."""
+
+    async def main() -> None:
+        async with open_loop():
+            service = StateService(filled_log(1, 10), marks=lambda: ())
+            service.transfers = 100
+            server, endpoint = await serve(service)
+            deadline = trio.current_time() + 5.0
+            with pytest.raises(StateError, match="too many transfers"):
+                await fetch_state(endpoint, after=0, deadline=deadline)
+            server.close()
+
+    trio.run(main)
+
+
+def test_joiner_takes_state_from_a_peer() -> None:
+    """A joiner skips dead peers and holds log and marks afterwards."""
+
+    async def main() -> None:
+        async with open_loop():
+            service = StateService(filled_log(9, 10), marks=lambda: MARKS)
+            server, endpoint = await serve(service)
+            own, dead, alive = make_instances(3, zones=("a",))
+            listed = [
+                own,
+                dead,
+                Instance(
+                    name=alive.name,
+                    role=alive.role,
+                    region=alive.region,
+                    zone=alive.zone,
+                    inner=alive.inner,
+                    rpc=endpoint,
+                ),
+            ]
+            log = SnapshotFakeLog()
+            membership = Membership(
+                own,
+                incarnation=1,
+                log=log,
+                sink=MemorySink(),
+                random=Random(1),
+                now=trio.current_time(),
+            )
+            membership.update_instances(listed, trio.current_time())
+            local = make_fetch()
+
+            async def fetch(peer: Instance, after: int, deadline: float) -> State:
+                if peer.name == dead.name:
+                    raise StateError("dead")
+                return await local(peer, after, deadline)
+
+            fetcher = BulkFetcher(
+                membership,
+                log=log,
+                fetch=fetch,
+                deliver=lambda sends: None,
+                random=Random(1),
+            )
+            assert await fetcher.join()
+            assert log.snapshots[0].number == 9
+            assert not membership.is_eligible("i", "a", trio.current_time())
+            server.close()
+
+    trio.run(main)
