--- a/bench/standins/deployment.py
+++ b/bench/standins/deployment.py
@@ -319,3 +319,11 @@
         agent = self.agents[target].agent
         assert agent is not None
         agent.node.stop()
+
+    async def replace_agent(self, target: str) -> None:
+        """Stop an agent in a planned way and start its successor."""
+        running = self.agents[target]
+        self.stop_agent(target)
+        assert running.agent is not None
+        await running.agent.stopped.wait()
+        await self._start_agent(running)
--- a/bench/standins/target.py
+++ b/bench/standins/target.py
@@ -23,6 +23,7 @@
     SocketListener,
     SocketStream,
     TaskStatus,
+    current_time,
     open_tcp_listeners,
     serve_listeners,
     sleep,
@@ -78,6 +79,7 @@
         self.long_s = long_s
         self.part_s = part_s
         self.is_silent = False
+        self.last_started = 0.0
         self.port = 0
 
     async def run(
@@ -105,6 +107,7 @@
             return False
         while self.is_silent:
             await sleep(0.1)
+        self.last_started = current_time()
         path = request.target.decode()
         headers = dict(request.headers)
         self.record.paths[path.split("?")[0]] += 1
--- /dev/null
+++ b/src/balsamtide/agent/execution.py
@@ -0,0 +1,227 @@
+"""Admission and run of one request, here or at a peer, with its claim and times."""
+
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from trio import CancelScope, current_time
+
+from balsamtide.admission.policy import Decision, Refused, Start, Transfer
+from balsamtide.agent.dispatcher import Dispatcher
+from balsamtide.protocol.verdict import Verdict
+from balsamtide.requests.answer_recorder import AnswerRecorder
+from balsamtide.requests.exits import Exit
+from balsamtide.requests.hand_off_client import HandOffRunner
+from balsamtide.requests.home import KeyedRun
+from balsamtide.requests.model import Outcome, Refusal, RequestFacts
+from balsamtide.requests.runner import RequestHead, Runner
+from balsamtide.telemetry.stages import Stage, StageTimes
+
+__all__ = ["Body", "Executor", "HandOff", "Job"]
+
+MOST_TRIES = 8
+QUEUE_STAGES = {
+    "": Stage.QUEUED_SHORT,
+    "short": Stage.QUEUED_SHORT,
+    "long": Stage.QUEUED_LONG,
+    "cold": Stage.QUEUED_COLD,
+    "limit": Stage.QUEUED_LIMIT,
+}
+
+
+class Body(Protocol):
+    """The body of a request."""
+
+    @property
+    def is_replayable(self) -> bool:
+        """Whether it can be read from its start again."""
+
+    def read(self) -> AsyncIterator[bytes]:
+        """Yield its parts from the start."""
+
+
+class HandOff(Protocol):
+    """Makes runners for peers."""
+
+    def runner(self, targets: tuple[int, ...], keyed: KeyedRun | None) -> HandOffRunner:
+        """Return a runner that offers a request to ``targets`` in turn."""
+
+
+@dataclass(slots=True, kw_only=True)
+class Job:
+    """One request on its way through admission.
+
+    Parameters
+    ----------
+    facts : RequestFacts
+        What decisions need.
+    head : RequestHead
+        What the target gets.
+    body : Body
+        Its body.
+    answer : AnswerRecorder
+        Where the answer goes.
+    keyed : KeyedRun or None
+        Claim in a ledger.
+    """
+
+    facts: RequestFacts
+    head: RequestHead
+    body: Body
+    answer: AnswerRecorder
+    keyed: KeyedRun | None = None
+    stages: StageTimes = field(default_factory=StageTimes)
+    attempts: list[str] = field(default_factory=list)
+    refusal: Refusal | None = None
+    ran_on: str = ""
+    is_started: bool = False
+    is_settled: bool = False
+
+
+class Executor:
+    """Admits and runs jobs.
+
+    Parameters
+    ----------
+    dispatcher : Dispatcher
+        Owner of the admission policy.
+    runner : Runner
+        Runs requests on the own target.
+    hand_off : HandOff
+        Makes runners for peers.
+    target_name : callable
+        Returns the name of a target by its number, None for the own one.
+    """
+
+    def __init__(
+        self,
+        *,
+        dispatcher: Dispatcher,
+        runner: Runner,
+        hand_off: HandOff,
+        target_name: Callable[[int | None], str],
+    ) -> None:
+        self.dispatcher = dispatcher
+        self.runner = runner
+        self.hand_off = hand_off
+        self.target_name = target_name
+
+    async def execute(self, job: Job, *, stall_s: Callable[[], float]) -> Outcome:
+        """Run a job to its end and settle its claim.
+
+        A job that is refused leaves its refusal in ``job.refusal``.
+
+        Parameters
+        ----------
+        job : Job
+            The request.
+        stall_s : callable
+            Returns how long its answer has waited for its reader so far, seconds.
+        """
+        outcome = Exit.CANCELLED_WAITING.outcome()
+        try:
+            outcome = await self._admit_and_run(job, stall_s)
+        except BaseException:
+            if job.is_started:
+                outcome = Exit.CANCELLED_RUNNING.outcome()
+            self.dispatcher.cancel(job.facts.request_id)
+            raise
+        finally:
+            self._settle(job, outcome)
+        return outcome
+
+    async def _admit_and_run(self, job: Job, stall_s: Callable[[], float]) -> Outcome:
+        decision = await self._decide(job, self.dispatcher.decide, job.facts)
+        for _ in range(MOST_TRIES):
+            if isinstance(decision, Refused):
+                return self._refuse(job, decision.refusal)
+            if isinstance(decision, Start):
+                return await self._run_here(job, stall_s)
+            outcome = await self._run_at_peer(job, decision, stall_s)
+            if outcome.verdict is not Verdict.NOT_RUN or not self._can_retry(job):
+                return outcome
+            decision = await self._decide(
+                job, self.dispatcher.decide_again, job.facts.request_id
+            )
+        self.dispatcher.cancel(job.facts.request_id)
+        return Exit.NO_GRANT.outcome()
+
+    @staticmethod
+    def _can_retry(job: Job) -> bool:
+        is_untouched = job.body.is_replayable and not job.answer.status
+        return is_untouched and current_time() < job.facts.deadline
+
+    async def _decide(self, job: Job, ask, argument) -> Decision:  # type: ignore[no-untyped-def]
+        before = current_time()
+        decision: Decision = await ask(argument)
+        behind = decision.queued_behind if isinstance(decision, Start) else ""
+        job.stages.add(QUEUE_STAGES[behind], current_time() - before)
+        return decision
+
+    @staticmethod
+    def _refuse(job: Job, refusal: Refusal) -> Outcome:
+        job.refusal = refusal
+        return Outcome(
+            verdict=refusal.verdict,
+            status=refusal.status,
+            is_complete=False,
+            reason=refusal.reason,
+        )
+
+    async def _run_here(self, job: Job, stall_s: Callable[[], float]) -> Outcome:
+        if job.keyed is not None and not job.keyed.start():
+            outcome = Exit.TENURE_CLOSED.outcome()
+        else:
+            outcome = await self._run(job, self.runner, Stage.TARGET, stall_s)
+            job.ran_on = self.target_name(None)
+        with CancelScope(shield=True):
+            self.dispatcher.finish(job.facts.request_id, outcome)
+        self._note(job, self.target_name(None), outcome)
+        return outcome
+
+    async def _run_at_peer(
+        self, job: Job, transfer: Transfer, stall_s: Callable[[], float]
+    ) -> Outcome:
+        runner = self.hand_off.runner(transfer.targets, job.keyed)
+        outcome = await self._run(job, runner, Stage.HAND_OFF, stall_s)
+        for error in runner.attempts:
+            job.attempts.append(f"peer {error.verdict.value} {error.reason}")
+        if runner.target is not None:
+            job.ran_on = self.target_name(runner.target)
+            self._note(job, job.ran_on, outcome)
+        if outcome.verdict is not Verdict.NOT_RUN:
+            self.dispatcher.finish(job.facts.request_id, outcome)
+        return outcome
+
+    async def _run(
+        self, job: Job, runner: Runner, stage: Stage, stall_s: Callable[[], float]
+    ) -> Outcome:
+        before = current_time()
+        stalled_before = stall_s()
+        job.is_started = True
+        try:
+            outcome = await runner.run(job.facts, job.head, job.body.read(), job.answer)
+        finally:
+            stalled = stall_s() - stalled_before
+            job.stages.add(stage, max(0.0, current_time() - before - stalled))
+        job.is_started = outcome.verdict is not Verdict.NOT_RUN
+        return outcome
+
+    @staticmethod
+    def _note(job: Job, target: str, outcome: Outcome) -> None:
+        reason = f" {outcome.reason}" if outcome.reason else ""
+        job.attempts.append(f"{target} {outcome.verdict.value}{reason}")
+
+    @staticmethod
+    def _settle(job: Job, outcome: Outcome) -> None:
+        """Tell the ledger how a keyed job ended."""
+        if job.keyed is None or job.is_settled:
+            return
+        job.is_settled = True
+        if outcome.verdict is Verdict.NOT_RUN:
+            job.keyed.unstart()
+            job.keyed.release()
+            return
+        is_whole = outcome.verdict is Verdict.RAN and outcome.is_complete
+        answer = job.answer.answer if is_whole else None
+        job.keyed.finish(outcome.verdict, answer, current_time())
--- a/src/balsamtide/agent/flow.py
+++ b/src/balsamtide/agent/flow.py
@@ -42,6 +42,7 @@
     is_handshake_done: bool = False
     handshake_s: float = 0.0
     inner_s: float = 0.0
+    balancer_version: int = 0
     ids: set[bytes] = field(default_factory=set)
     open_streams: set[int] = field(default_factory=set)
     waiting_streams: dict[int, float] = field(default_factory=dict)
--- a/src/balsamtide/agent/flow_engine.py
+++ b/src/balsamtide/agent/flow_engine.py
@@ -271,6 +271,7 @@
     def _feed(self, flow: Flow, forward: Forward, now: float) -> None:
         flow.return_path.balancer = forward.reply_to
         flow.inner_s = forward.elapsed_us / 1e6
+        flow.balancer_version = forward.version
         flow.last_heard = now
         source = (forward.caller.host, forward.caller.port)
         flow.connection.receive_datagram(forward.payload, source, now)
@@ -518,6 +519,7 @@
                 round_trip_s=flow.connection.round_trip_s,
                 handshake_s=handshake_s,
                 steered=flow.steered,
+                balancer_version=flow.balancer_version,
             )
         )
 
--- a/src/balsamtide/agent/flow_events.py
+++ b/src/balsamtide/agent/flow_events.py
@@ -46,6 +46,8 @@
         Time the flow's handshake took, seconds; 0 but for the first request.
     steered : bool
         Whether the flow was steered here by a peer.
+    balancer_version : int
+        Configuration version that the balancer routed by.
     """
 
     key: StreamKey
@@ -56,6 +58,7 @@
     round_trip_s: float = 0.0
     handshake_s: float = 0.0
     steered: bool = False
+    balancer_version: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/balsamtide/agent/keyed_requests.py
+++ b/src/balsamtide/agent/keyed_requests.py
@@ -1,10 +1,8 @@
 """Keyed requests at one agent: stamps, the home's decisions and the way to a home."""
 
-from collections.abc import Callable
-
+from balsamtide.requests.hand_off_client import HandOffClient, HomeRunner
 from balsamtide.requests.home import AskHome, Home, HomeDecision
 from balsamtide.requests.model import RequestFacts
-from balsamtide.requests.runner import Runner
 from balsamtide.requests.stamp import StampCodec, StampIssuer
 
 __all__ = ["KeyedRequests"]
@@ -21,8 +19,8 @@
         Reads stamps.
     issuer : StampIssuer
         Issues stamps of this agent.
-    runner_at_home : callable
-        Returns the runner that passes a repeat to its home.
+    client : HandOffClient
+        Connections to the peers.
     """
 
     def __init__(
@@ -31,12 +29,12 @@
         home: Home,
         stamps: StampCodec,
         issuer: StampIssuer,
-        runner_at_home: Callable[[AskHome], Runner],
+        client: HandOffClient,
     ) -> None:
         self.home = home
         self.stamps = stamps
         self.issuer = issuer
-        self.runner_at_home = runner_at_home
+        self.client = client
 
     def issue_stamp(self) -> bytes:
         """Return a fresh stamp."""
@@ -48,3 +46,7 @@
         """Decide about a request of a caller."""
         stamp = self.stamps.decode(token) if token is not None else None
         return self.home.decide(facts, stamp, now)
+
+    def home_runner(self, decision: AskHome) -> HomeRunner:
+        """Return the runner that passes a repeat to its home."""
+        return self.client.home_runner(decision)
--- /dev/null
+++ b/src/balsamtide/agent/service_view.py
@@ -0,0 +1,72 @@
+"""The own service and target in the version in force."""
+
+from balsamtide.config.model import Configuration, Service, Target, TargetState
+from balsamtide.protocol.messages import Endpoint
+
+__all__ = ["ServiceView"]
+
+
+class ServiceView:
+    """Lookups in one service; replaced in place by each version.
+
+    Parameters
+    ----------
+    service_name, own_name : str
+        Names of the service and of the own target.
+    service : Service
+        The service.
+    """
+
+    def __init__(self, service_name: str, own_name: str, service: Service) -> None:
+        self.service_name = service_name
+        self.own_name = own_name
+        self.use(service)
+
+    @classmethod
+    def find(
+        cls, configuration: Configuration, service_name: str, own_name: str
+    ) -> "ServiceView | None":
+        """Return the view, None if the configuration has no such target."""
+        service = configuration.services.get(service_name)
+        if service is None or own_name not in service.targets:
+            return None
+        return cls(service_name, own_name, service)
+
+    def use(self, service: Service) -> None:
+        """Look up in ``service`` from now on."""
+        self.service = service
+        # An agent whose target was removed goes on for the flows it has.
+        self.target: Target = service.targets.get(self.own_name) or self.target
+        self.by_number = {t.number: (n, t) for n, t in service.targets.items()}
+
+    @property
+    def is_listed(self) -> bool:
+        """Whether the configuration has the own target."""
+        return self.own_name in self.service.targets
+
+    @property
+    def is_active(self) -> bool:
+        """Whether the own target may be given new work."""
+        return self.is_listed and self.target.state is TargetState.ACTIVE
+
+    def target_name(self, number: int | None) -> str:
+        """Return the name of a target, of the own one for None."""
+        if number is None:
+            return self.own_name
+        found = self.by_number.get(number)
+        return found[0] if found else f"target-{number}"
+
+    def rpc_endpoint(self, number: int) -> Endpoint | None:
+        """Return where the agent of a target serves RPC."""
+        found = self.by_number.get(number)
+        return Endpoint(found[1].agent_host, found[1].agent_rpc_port) if found else None
+
+    def agent_endpoint(self, number: int) -> Endpoint | None:
+        """Return where the agent of a target takes inner datagrams."""
+        found = self.by_number.get(number)
+        return Endpoint(found[1].agent_host, found[1].agent_port) if found else None
+
+    def peers(self) -> list[Target]:
+        """Return the other targets of the service."""
+        own = self.target.number
+        return [t for t in self.service.targets.values() if t.number != own]
--- a/src/balsamtide/agent/target_client.py
+++ b/src/balsamtide/agent/target_client.py
@@ -31,11 +31,12 @@
     open_tcp_stream,
 )
 
-from balsamtide.protocol.headers import DEADLINE_MS, REQUEST_ID, VERDICT
+from balsamtide.protocol.headers import DEADLINE_MS, REQUEST_ID
 from balsamtide.protocol.messages import Endpoint
-from balsamtide.protocol.verdict import Verdict
+from balsamtide.requests.exits import Exit
 from balsamtide.requests.model import Outcome, RequestFacts
 from balsamtide.requests.runner import AnswerWriter, Header, RequestHead, Runner
+from balsamtide.requests.target_answers import classify_answer
 
 __all__ = ["TargetRunner"]
 
@@ -47,7 +48,6 @@
     (b"connection", b"keep-alive", b"transfer-encoding", b"te", b"upgrade", b"trailer")
 )
 METHODS_WITH_BODY = ("POST", "PUT", "PATCH")
-SHED_STATUS = 503
 STREAM_ERRORS = (BrokenResourceError, ClosedResourceError, OSError)
 
 
@@ -66,19 +66,21 @@
 
     started_at: float
     scope: CancelScope = field(default_factory=CancelScope)
+    is_connected: bool = False
     is_sent: bool = False
     status: int = 0
     is_answered: bool = False
-    is_shed: bool = False
+    head_exit: Exit = Exit.ANSWERED
 
-    @property
-    def verdict(self) -> Verdict:
-        """Verdict if the request failed now."""
-        if self.is_shed:
-            return Verdict.NOT_RUN
+    def failure(self, *, is_timeout: bool = False) -> Exit:
+        """Return how the request ends if its connection fails now."""
         if self.is_answered:
-            return Verdict.RAN
-        return Verdict.MAY_HAVE_RUN if self.is_sent else Verdict.NOT_RUN
+            return Exit.ANSWER_CUT
+        if self.is_sent:
+            return Exit.TARGET_TIMEOUT if is_timeout else Exit.REQUEST_CUT
+        if self.is_connected:
+            return Exit.REQUEST_NOT_SENT
+        return Exit.CONNECT_TIMEOUT if is_timeout else Exit.CONNECT_REFUSED
 
 
 class TargetRunner(Runner):
@@ -108,27 +110,24 @@
         progress = Progress(started_at=current_time())
         try:
             with fail_at(facts.deadline):
-                connection = await self._connect(progress)
+                connection = await self._connect()
+                progress.is_connected = True
                 return await self._run_on(
                     connection, facts, head, body, answer, progress
                 )
         except TooSlowError:
-            return self._failed(progress, "target-timeout", status=504)
-        except STREAM_ERRORS as error:
-            return self._failed(progress, _reason(error, progress))
-        except ProtocolError:
-            return self._failed(progress, "target-protocol")
-
-    def _failed(self, progress: Progress, reason: str, *, status: int = 502) -> Outcome:
-        return Outcome(
-            verdict=progress.verdict,
-            status=progress.status or status,
+            return self._end(progress, progress.failure(is_timeout=True))
+        except (*STREAM_ERRORS, ProtocolError):
+            return self._end(progress, progress.failure())
+
+    @staticmethod
+    def _end(progress: Progress, end: Exit) -> Outcome:
+        return end.outcome(
+            status=progress.status or None,
             service_time_s=current_time() - progress.started_at,
-            is_complete=False,
-            reason=reason,
         )
 
-    async def _connect(self, progress: Progress) -> TargetConnection:
+    async def _connect(self) -> TargetConnection:
         now = current_time()
         while self.idle:
             connection = self.idle.pop()
@@ -162,13 +161,7 @@
         finally:
             if not is_reusable:
                 await connection.stream.aclose()
-        if progress.is_shed:
-            return self._failed(progress, "target-shed")
-        return Outcome(
-            verdict=Verdict.RAN,
-            status=progress.status,
-            service_time_s=current_time() - progress.started_at,
-        )
+        return self._end(progress, progress.head_exit)
 
     async def _send(
         self,
@@ -203,13 +196,14 @@
                 continue
             elif isinstance(event, Response):
                 progress.status = event.status_code
-                if _is_shed(event):
-                    progress.is_shed = True
+                headers = _answer_headers(event)
+                progress.head_exit = classify_answer(event.status_code, headers)
+                if progress.head_exit is Exit.TARGET_SHED:
                     return
                 progress.is_answered = True
                 # The deadline is for the start of the answer; a stream may last.
                 progress.scope.deadline = inf
-                await answer.start(event.status_code, _answer_headers(event))
+                await answer.start(event.status_code, headers)
             elif isinstance(event, Data):
                 await answer.write(bytes(event.data))
             elif isinstance(event, EndOfMessage | ConnectionClosed) or event is PAUSED:
@@ -237,12 +231,6 @@
     return not stream.socket.is_readable()
 
 
-def _reason(error: BaseException, progress: Progress) -> str:
-    if progress.is_answered:
-        return "answer-broken"
-    return "target-broken" if progress.is_sent else "target-unreachable"
-
-
 def _request_headers(
     headers: tuple[Header, ...], target: Endpoint, facts: RequestFacts
 ) -> list[Header]:
@@ -261,12 +249,6 @@
     return kept
 
 
-def _is_shed(response: Response) -> bool:
-    """Tell whether the target itself says that it did not run the request."""
-    said = (VERDICT, Verdict.NOT_RUN.value.encode())
-    return response.status_code == SHED_STATUS and said in response.headers
-
-
 def _answer_headers(response: Response) -> tuple[Header, ...]:
     return tuple(
         (name, value) for name, value in response.headers if name not in HOP_HEADERS
--- a/src/balsamtide/balancer/balancer.py
+++ b/src/balsamtide/balancer/balancer.py
@@ -11,6 +11,7 @@
     open_nursery,
     sleep,
 )
+from trio_asyncio import open_loop
 
 from balsamtide.balancer.events import (
     BALANCER_STARTED,
@@ -22,6 +23,7 @@
 from balsamtide.config.holder import Held
 from balsamtide.config.port import PlatformPort
 from balsamtide.node.node import Node
+from balsamtide.node.rpc import serve_rpc, server_context
 from balsamtide.protocol.messages import Endpoint, Message, Reply
 from balsamtide.routing.table import RoutingTable, build_table
 from balsamtide.settings.model import Settings
@@ -105,7 +107,15 @@
     async def run(self, *, task_status: TaskStatus[None] = TASK_STATUS_IGNORED) -> None:
         """Run until a planned stop has ended."""
         try:
-            async with open_nursery() as nursery:
+            async with (
+                open_loop(),
+                serve_rpc(
+                    [self.node.state_service],
+                    self.settings.rpc,
+                    ssl=server_context(self.settings.rpc_tls),
+                ),
+                open_nursery() as nursery,
+            ):
                 self.nursery = nursery
                 self.node.start(nursery)
                 self.node.control.check(current_time())
--- a/src/balsamtide/node/node.py
+++ b/src/balsamtide/node/node.py
@@ -3,13 +3,17 @@
 from collections.abc import Callable, Sequence
 from random import Random
 
-from trio import Event, Nursery, current_time, sleep
+from trio import Event, Nursery, current_time, move_on_after, sleep
 
 from balsamtide.config.holder import ConfigurationHolder, Held
-from balsamtide.config.port import Instance, PlatformError, PlatformPort
+from balsamtide.config.port import Instance, PlatformPort
+from balsamtide.membership.joining import BulkFetcher, make_fetch
 from balsamtide.membership.membership import Membership
+from balsamtide.membership.readers import read_platform
+from balsamtide.membership.state_rpc import StateService
 from balsamtide.node.control import Control
 from balsamtide.node.inner_link import Handler, InnerLink
+from balsamtide.node.rpc import client_context
 from balsamtide.protocol.actions import Send
 from balsamtide.protocol.connection_id import ConnectionIdCodec
 from balsamtide.protocol.datagram import DatagramCodec
@@ -21,7 +25,8 @@
 __all__ = ["Node"]
 
 INCARNATION_BITS = 32
-READ_RETRY_S = 1.0
+LIST_WAIT_S = 2.0
+LIST_CHECK_S = 0.05
 
 
 class Node:
@@ -104,26 +109,46 @@
         self.control.receive(message, source, now)
         self.on_other(message, source, now)
 
+    @property
+    def state_service(self) -> StateService:
+        """The RPC service that gives joiners the configuration and the marks."""
+        return StateService(
+            self.holder, marks=lambda: self.membership.marks(current_time())
+        )
+
     def start(self, nursery: Nursery) -> None:
-        """Start the tasks that every role has."""
+        """Start the tasks that every role has, inside a trio-asyncio loop."""
         nursery.start_soon(self.link.run)
         nursery.start_soon(self.control.run)
         nursery.start_soon(self._read_platform)
+        nursery.start_soon(self._fetch_state)
 
     async def _read_platform(self) -> None:
-        while True:
-            try:
-                instances = await self.platform.instances()
-                now = current_time()
-                self.send(self.membership.update_instances(instances, now))
-                entries = await self.platform.watch(self.holder.held.number, 1.0)
-            except PlatformError:
-                await sleep(READ_RETRY_S)
-                continue
-            now = current_time()
-            self.holder.offer_entries(entries, source="platform", now=now)
-            self.send(self.membership.entries_arrived(now))
-            self.control.check(now)
+        await read_platform(
+            self.membership,
+            log=self.holder,
+            platform=self.platform,
+            deliver=self._deliver,
+            random=self.random,
+        )
+
+    async def _fetch_state(self) -> None:
+        fetcher = BulkFetcher(
+            self.membership,
+            log=self.holder,
+            fetch=make_fetch(client_context(self.settings.rpc_tls)),
+            deliver=self._deliver,
+            random=self.random,
+        )
+        with move_on_after(LIST_WAIT_S):
+            while not self.membership.peers():
+                await sleep(LIST_CHECK_S)
+        await fetcher.join()
+        await fetcher.run()
+
+    def _deliver(self, sends: Sequence[Send]) -> None:
+        self.send(sends)
+        self.control.check(current_time())
 
     def stop(self) -> None:
         """Ask for a planned stop."""
