--- a/src/balsamtide/admission/deadline_admission.py
+++ b/src/balsamtide/admission/deadline_admission.py
@@ -40,7 +40,8 @@
 QUEUE_WAIT_S = 0.2
 LATE_FACTOR = 3.0
 TRANSFER_RETRY_S = 0.01
-MOST_TRANSFERS = 8
+MOST_TRANSFERS = 4
+MOST_OFFERED = 256
 SHORTEST_RETRY_AFTER_S = 0.05
 US_PER_S = 1_000_000
 
@@ -375,8 +376,17 @@
             return "cold" if self.limit.is_cold else "limit"
         return "long" if self.slots.held_by_long else "short"
 
+    def _forget_offered(self, now: float) -> None:
+        """Drop what was handed off and never reported back."""
+        old = [i for i, o in self.offered.items() if now >= o.request.deadline]
+        for request_id in old:
+            del self.offered[request_id]
+            self.transfers.pop(request_id, None)
+
     def _advance(self, now: float) -> list[Decision]:
         self.slots.void(now)
+        if len(self.offered) > MOST_OFFERED:
+            self._forget_offered(now)
         decisions: list[Decision] = []
         for queue in self.queues.values():
             for entry in queue.hopeless(now):
--- a/src/balsamtide/requests/home.py
+++ b/src/balsamtide/requests/home.py
@@ -104,6 +104,11 @@
     targets: tuple[int, ...]
     stamp: Stamp
 
+    @property
+    def target(self) -> int:
+        """The first candidate."""
+        return self.targets[0]
+
 
 @dataclass(frozen=True, slots=True)
 class Refuse:
