Offer to likely peers instead of only to those reported free

Reports are older than a short service time, so a free slot in a report says little. Peers are now chosen by their recent share of grants, which recovers while nobody asks; queued work is offered again every 5 ms; an agent whose slots were more in use than its peers' hands work off although it has a slot. Offers rise from 0.3 to about 2 for each request, which is too many.

--- a/bench/load_model.py
+++ b/bench/load_model.py
@@ -398,6 +398,7 @@
         taker = Taker(self.records[request_id].facts, self.now)
         offer = taker.offer(self.now)
         self.offers += 1
+        sent_at = self.now
         is_answered = False
 
         def receive() -> None:
@@ -415,6 +416,7 @@
             if is_answered or agent in self.dead:
                 return
             is_answered = True
+            self._reply(agent, peer, is_granted, sent_at)
             if is_granted:
                 taker.granted()
             if is_granted and taker.use(self.now):
@@ -424,13 +426,20 @@
 
         def give_up() -> None:
             nonlocal is_answered
-            if not is_answered:
+            if not is_answered and agent not in self.dead:
                 is_answered = True
+                self._reply(agent, peer, False, sent_at)
                 self._offer(agent, request_id, targets)
 
         self._later(receive)
         self.at(self.now + OFFER_TIMEOUT_S, give_up)
 
+    def _reply(self, agent: int, peer: int, is_granted: bool, sent_at: float) -> None:
+        policy = self.policies[agent]
+        if isinstance(policy, DeadlineAdmission):
+            seconds = self.now - sent_at
+            policy.peers.record_reply(peer, is_granted, seconds, self.now)
+
     def _use_grant(self, agent: int, peer: int, giver: Giver) -> None:
         request_id = giver.facts.request_id
         is_alive = peer not in self.dead
--- a/src/balsamtide/admission/deadline_admission.py
+++ b/src/balsamtide/admission/deadline_admission.py
@@ -16,7 +16,7 @@
 from balsamtide.admission.long_quotas import long_quotas
 from balsamtide.admission.metrics import ADMITTED, QUEUE_LENGTH, REFUSED, TRANSFERS
 from balsamtide.admission.neighbours import neighbours
-from balsamtide.admission.peer_loads import PeerLoads
+from balsamtide.admission.peer_loads import LONGEST_PEER_WAIT_S, PeerLoads
 from balsamtide.admission.policy import (
     AdmissionPolicy,
     Decision,
@@ -27,6 +27,7 @@
 from balsamtide.admission.report_schedule import ReportSchedule
 from balsamtide.admission.size_classes import SizeClasses
 from balsamtide.admission.slot_table import Holder, SlotTable
+from balsamtide.admission.usage import SlotUsage
 from balsamtide.config.model import Service, SizeClass, Target
 from balsamtide.protocol.actions import Send
 from balsamtide.protocol.messages import Endpoint, LoadReport
@@ -39,11 +40,16 @@
 
 QUEUE_WAIT_S = 0.2
 LATE_FACTOR = 3.0
-TRANSFER_RETRY_S = 0.01
-MOST_TRANSFERS = 4
+TRANSFER_RETRY_S = 0.005
+MOST_TRANSFERS = 32
+SHORTEST_TRANSFER_WAIT_S = 0.003
+REMOTE_WAIT_S = 0.01
+BUSY_MARGIN = 0.03
+BUSY_GAIN = 3.0
 MOST_OFFERED = 256
 SHORTEST_RETRY_AFTER_S = 0.05
 US_PER_S = 1_000_000
+PERMILLE = 1000
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -110,6 +116,7 @@
         self.health = TargetHealth()
         self.peers = PeerLoads(service.number, random)
         self.schedule = ReportSchedule(now)
+        self.usage = SlotUsage(now)
         self.queues = {
             size: DeadlineQueue(service.rules.limits.queue)
             for size in (SizeClass.SHORT, SizeClass.LONG)
@@ -147,7 +154,10 @@
         """Take a request from a caller."""
         size = self.classes.size(request.route)
         if not self.queues[size] and self._can_start(size, now):
-            return [self._start(request, size, "", now)]
+            targets = self._choose_idler(size, now)
+            if not targets:
+                return [self._start(request, size, "", now)]
+            return [self._transfer(request, size, targets)]
         targets = self._choose(request, size, now)
         if targets:
             return [self._transfer(request, size, targets)]
@@ -257,10 +267,12 @@
             long_wait_us=round(self._wait_s(SizeClass.LONG, now) * US_PER_S),
             state=self._state(now),
             tenure=self.identity.tenure,
+            busy_permille=round(self.usage.share * PERMILLE),
         )
 
     def reports(self, now: float) -> Sequence[Send]:
         """Return the load reports that are due; call it after every other call."""
+        self.usage.update(self.slots.held / self.own.slots, now)
         report = self.report(now)
         if not self.schedule.is_due(report, len(self.neighbours), now):
             return ()
@@ -304,8 +316,22 @@
     ) -> tuple[int, ...]:
         if self.transfers.get(request.request_id, 0) >= MOST_TRANSFERS:
             return ()
+        wait = self._wait_s(size, now)
+        if size is SizeClass.SHORT and wait < SHORTEST_TRANSFER_WAIT_S:
+            return ()
         allowed = self.quotas if size is SizeClass.LONG else None
-        return self.peers.choose(size, now, allowed)
+        return self.peers.choose(size, now, own_wait_s=wait, allowed=allowed)
+
+    def _choose_idler(self, size: SizeClass, now: float) -> tuple[int, ...]:
+        """Choose peers for a request that could start here, to even slot time out."""
+        mean = self.peers.mean_busy(now)
+        if size is SizeClass.LONG or mean is None:
+            return ()
+        self.usage.update(self.slots.held / self.own.slots, now)
+        excess = self.usage.share - mean
+        if excess < BUSY_MARGIN or self.random.random() > BUSY_GAIN * excess:
+            return ()
+        return self.peers.choose_idler(mean, now)
 
     def _transfer(
         self, request: RequestFacts, size: SizeClass, targets: tuple[int, ...]
@@ -322,14 +348,15 @@
         queue = self.queues[size]
         service_time = self.times.mean(request.route)
         entry = queue.place(request, service_time)
-        wait = self._wait_s(size, now, entry)
+        wait = self._admission_wait_s(entry, size, now)
         objection = self._objection(entry, wait, size, now)
         if objection:
             return [self._refuse(request, objection, wait)]
         entry.cause = self._cause(now)
         queue.add(entry)
         self.sink.gauge(QUEUE_LENGTH, len(queue), size=size.value)
-        self.next_retry = min(self.next_retry, now + TRANSFER_RETRY_S)
+        if self.peers.loads:
+            self.next_retry = min(self.next_retry, now + TRANSFER_RETRY_S)
         return ()
 
     def _objection(
@@ -351,6 +378,16 @@
         retry_after = max(SHORTEST_RETRY_AFTER_S, wait) * self.random.uniform(1, 2)
         return Refused(request.request_id, cause.refusal(retry_after))
 
+    def _admission_wait_s(self, entry: Waiting, size: SizeClass, now: float) -> float:
+        """Return the wait of a new request, here or until a peer takes it."""
+        own = self._wait_s(size, now, entry)
+        if size is SizeClass.LONG or own <= QUEUE_WAIT_S:
+            return own
+        peer = self.peers.shortest_wait(size, now)
+        if peer is None or peer > LONGEST_PEER_WAIT_S:
+            return own
+        return min(own, peer + (len(self.queues[size]) + 1) * REMOTE_WAIT_S)
+
     def _wait_s(
         self, size: SizeClass, now: float, entry: Waiting | None = None
     ) -> float:
@@ -406,10 +443,10 @@
                 targets = self._choose(head.request, size, now)
                 if not targets:
                     break
-                queue.take()
+                queue.remove(head.request.request_id)
                 decisions.append(self._transfer(head.request, size, targets))
                 head = queue.head()
-        waiting = any(self.queues.values())
+        waiting = any(self.queues.values()) and self.peers.loads
         self.next_retry = now + TRANSFER_RETRY_S if waiting else float("inf")
         return decisions
 
--- a/src/balsamtide/admission/deadline_queue.py
+++ b/src/balsamtide/admission/deadline_queue.py
@@ -101,8 +101,10 @@
     def take(self) -> Waiting:
         """Remove and return the next request."""
         entry = self.entries[0]
-        self.round = max(self.round, entry.round)
         self.remove(entry.request.request_id)
+        if self.entries:
+            self.round = max(self.round, entry.round)
+            self.next_round[entry.request.caller] = entry.round + 1
         return entry
 
     def remove(self, request_id: str) -> Waiting | None:
@@ -111,6 +113,9 @@
         if entry is None:
             return None
         del self.entries[bisect_left(self.entries, entry)]
+        caller = entry.request.caller
+        if self.next_round.get(caller) == entry.round + 1:
+            self.next_round[caller] = entry.round
         self.work_s = max(0.0, self.work_s - entry.service_time_s)
         if not self.entries:
             self._restart()
--- a/src/balsamtide/admission/peer_loads.py
+++ b/src/balsamtide/admission/peer_loads.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass
+from math import exp
 from random import Random
 
 from balsamtide.config.model import SizeClass
@@ -10,11 +11,18 @@
 __all__ = ["PeerLoads"]
 
 FRESH_S = 2.5
-DENIED_S = 0.02
 CHOICES = 3
-DEFAULT_ROUND_TRIP_S = 0.001
+DEFAULT_ROUND_TRIP_S = 0.002
 ROUND_TRIP_GAIN = 0.1
+GRANT_GAIN = 0.3
+GRANT_AT_FIRST = 0.5
+GRANT_RECOVERY_S = 0.3
+LOWEST_GRANT_SHARE = 0.2
+LONGEST_PEER_WAIT_S = 0.05
 US_PER_S = 1_000_000
+COLD_COST_S = 0.01
+TAKING = frozenset(("ready", "cold", "full"))
+PERMILLE = 1000
 
 
 @dataclass(slots=True)
@@ -27,16 +35,27 @@
         The report.
     fresh_until : float
         When it is no longer believed, seconds on the local clock.
-    free : int
-        Free slots less the requests sent there since.
-    avoid_until : float
-        Until when no request is offered after a denial.
+    grant_share : float
+        Recent share of offers that the peer granted.
+    replied_at : float
+        When ``grant_share`` was updated, seconds on the local clock.
     """
 
     report: LoadReport
     fresh_until: float
-    free: int
-    avoid_until: float = 0.0
+    grant_share: float = GRANT_AT_FIRST
+    replied_at: float = 0.0
+
+    def likely_grant(self, now: float) -> float:
+        """Return the probability of a grant; it recovers while nobody asks."""
+        kept = exp(-(now - self.replied_at) / GRANT_RECOVERY_S)
+        return kept * self.grant_share + (1 - kept) * GRANT_AT_FIRST
+
+    def take_reply(self, is_granted: bool, now: float) -> None:
+        """Take the reply to an offer."""
+        share = self.likely_grant(now)
+        self.grant_share = share + GRANT_GAIN * (is_granted - share)
+        self.replied_at = now
 
     def wait_s(self, size: SizeClass) -> float:
         """Return the expected wait of a request of class ``size``, seconds."""
@@ -72,19 +91,24 @@
         """Take a report; tell whether the peer has a free slot."""
         if report.service != self.service or report.target not in self.zones:
             return False
-        load = PeerLoad(report, now + FRESH_S, report.free_slots)
-        self.loads[report.target] = load
-        return self._takes_work(load, now)
+        load = self.loads.setdefault(report.target, PeerLoad(report, 0.0))
+        load.report = report
+        load.fresh_until = now + FRESH_S
+        return report.free_slots > 0 and report.state in TAKING
 
     def forget(self, target: int) -> None:
         """Drop what is known of a peer, for example when it went silent."""
         self.loads.pop(target, None)
 
-    def record_round_trip(self, target: int, seconds: float) -> None:
-        """Take the measured time of one exchange with a peer."""
+    def record_reply(
+        self, target: int, is_granted: bool, seconds: float, now: float
+    ) -> None:
+        """Take a peer's reply to an offer, and the time of the exchange."""
+        load = self.loads.get(target)
         zone = self.zones.get(target)
-        if zone is None:
+        if load is None or zone is None:
             return
+        load.take_reply(is_granted, now)
         known = self.round_trips.get(zone, seconds)
         self.round_trips[zone] = known + ROUND_TRIP_GAIN * (seconds - known)
 
@@ -94,57 +118,86 @@
         return self.round_trips.get(zone, DEFAULT_ROUND_TRIP_S)
 
     def choose(
-        self, size: SizeClass, now: float, allowed: Mapping[int, int] | None = None
+        self,
+        size: SizeClass,
+        now: float,
+        *,
+        own_wait_s: float,
+        allowed: Mapping[int, int] | None = None,
     ) -> tuple[int, ...]:
-        """Return peers with a free slot for work of class ``size``, best first.
+        """Return peers that probably have a free slot, best first.
 
-        ``CHOICES`` peers are sampled and ordered by expected wait plus the cost of
-        the way.  ``allowed`` restricts them to targets with a quota above zero.
+        ``CHOICES`` peers are sampled and ordered by cost.  ``allowed`` restricts them
+        to targets with a quota above zero.
         """
-        free = [
+        usable = [
             number
             for number, load in self.loads.items()
-            if self._takes_work(load, now)
+            if self._is_usable(load, size, own_wait_s, now)
             and (allowed is None or allowed.get(number, 0) > 0)
-            and (size is SizeClass.SHORT or load.report.long_wait_us == 0)
         ]
-        sampled = self.random.sample(free, min(CHOICES, len(free)))
-        sampled.sort(key=lambda number: self._cost(number, size))
-        if sampled:
-            self.loads[sampled[0]].free -= 1
+        return self._sample(usable, now)
+
+    def choose_idler(self, busy_share: float, now: float) -> tuple[int, ...]:
+        """Return peers whose slots were less in use than ``busy_share``, best first."""
+        usable = [
+            number
+            for number, load in self.loads.items()
+            if load.report.busy_permille < busy_share * PERMILLE
+            and self._is_usable(load, SizeClass.SHORT, LONGEST_PEER_WAIT_S, now)
+        ]
+        return self._sample(usable, now)
+
+    def mean_busy(self, now: float) -> float | None:
+        """Return the mean share of slot time in use at fresh peers."""
+        shares = [
+            load.report.busy_permille / PERMILLE
+            for load in self.loads.values()
+            if now < load.fresh_until and load.report.state in TAKING
+        ]
+        return sum(shares) / len(shares) if shares else None
+
+    def _sample(self, usable: list[int], now: float) -> tuple[int, ...]:
+        sampled = self.random.sample(usable, min(CHOICES, len(usable)))
+        sampled.sort(key=lambda number: self._cost(number, now))
         return tuple(sampled)
 
-    def _takes_work(self, load: PeerLoad, now: float) -> bool:
-        return (
-            load.free > 0
-            and now < load.fresh_until
-            and now >= load.avoid_until
-            and load.report.state in ("ready", "cold")
-        )
+    def _is_usable(
+        self, load: PeerLoad, size: SizeClass, own_wait_s: float, now: float
+    ) -> bool:
+        if now >= load.fresh_until or load.report.state not in TAKING:
+            return False
+        if size is SizeClass.LONG:
+            return load.report.long_wait_us == 0
+        if load.wait_s(size) >= min(own_wait_s, LONGEST_PEER_WAIT_S):
+            return False
+        return load.likely_grant(now) >= LOWEST_GRANT_SHARE
 
-    def _cost(self, number: int, size: SizeClass) -> tuple[float, int]:
+    def _cost(self, number: int, now: float) -> float:
         load = self.loads[number]
-        cold_first = 1.0 if load.report.state == "cold" else 0.0
-        return (
-            cold_first + load.wait_s(size) + self.round_trip(number),
-            -load.free,
-        )
+        cold = COLD_COST_S if load.report.state == "cold" else 0.0
+        return cold + self.round_trip(number) / load.likely_grant(now)
 
     def deny(self, targets: tuple[int, ...], now: float) -> None:
-        """Offer nothing to ``targets`` for a moment."""
+        """Take it that none of ``targets`` granted."""
         for number in targets:
             load = self.loads.get(number)
-            if load is not None:
-                load.avoid_until = now + DENIED_S
+            if load is not None and load.replied_at < now:
+                load.take_reply(False, now)
 
     def shortest_wait(
-        self, size: SizeClass, now: float, allowed: Mapping[int, int]
+        self,
+        size: SizeClass,
+        now: float,
+        allowed: Mapping[int, int] | None = None,
     ) -> float | None:
         """Return the shortest expected wait among fresh peers, None without any."""
         waits = [
             load.wait_s(size)
             for number, load in self.loads.items()
-            if now < load.fresh_until and allowed.get(number, 0) > 0
+            if now < load.fresh_until
+            and load.report.state in TAKING
+            and (allowed is None or allowed.get(number, 0) > 0)
         ]
         return min(waits, default=None)
 
--- a/src/balsamtide/protocol/messages.py
+++ b/src/balsamtide/protocol/messages.py
@@ -226,6 +226,8 @@
         ``"ready"``, ``"cold"``, ``"draining"`` or ``"full"``.
     tenure : int
         Tenure of the agent's ledger.
+    busy_permille : int
+        Recent share of the target's slot time in use.
     """
 
     sender: str
@@ -237,6 +239,7 @@
     long_wait_us: int
     state: str
     tenure: int
+    busy_permille: int = 0
 
 
 class TenureClosed(Struct, frozen=True, array_like=True, tag=9):
--- a/src/balsamtide/requests/hand_off_client.py
+++ b/src/balsamtide/requests/hand_off_client.py
@@ -192,8 +192,9 @@
         Returns the RPC endpoint of a target's agent, None if there is none.
     ssl : SSLContext or None
         Client side of mutual TLS.
-    on_round_trip : callable or None
-        Takes target number and seconds from offer to grant.
+    on_reply : callable or None
+        Takes target number, whether it granted, and seconds from offer to reply, as
+        ``PeerLoads.record_reply`` with the time.
     """
 
     def __init__(
@@ -201,11 +202,11 @@
         endpoint: Callable[[int], Endpoint | None],
         *,
         ssl: SSLContext | None = None,
-        on_round_trip: Callable[[int, float], None] | None = None,
+        on_reply: Callable[[int, bool, float], None] | None = None,
     ) -> None:
         self.endpoint = endpoint
         self.ssl = ssl
-        self.on_round_trip = on_round_trip
+        self.on_reply = on_reply
         self.channels: dict[int, tuple[Endpoint, Channel]] = {}
 
     def channel(self, target: int) -> Channel:
@@ -366,14 +367,17 @@
             await aio_as_trio(stream.send_message)(taker.offer(sent_at))
             reply = await aio_as_trio(stream.recv_message)()
         now = current_time()
+        self._report_reply(target, isinstance(reply, Granted), now - sent_at)
         if isinstance(reply, Denied):
             raise GrantError(Exit.NO_GRANT.reason, f"target {target}: {reply.reason}")
         if not isinstance(reply, Granted):
             raise GrantError(Exit.NO_GRANT.reason, f"target {target} did not answer")
-        if self.client.on_round_trip is not None:
-            self.client.on_round_trip(target, now - sent_at)
         taker.granted()
 
+    def _report_reply(self, target: int, is_granted: bool, seconds: float) -> None:
+        if self.client.on_reply is not None:
+            self.client.on_reply(target, is_granted, seconds)
+
     async def _run_granted(
         self, stream: Any, taker: Taker, parts: RequestParts, target: int
     ) -> Outcome:
