--- a/bench/measures/cause.py
+++ b/bench/measures/cause.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 from gc import collect
+from os import devnull
 from random import Random
 from time import process_time
 from tracemalloc import get_traced_memory
@@ -11,7 +12,7 @@
 from msgspec.msgpack import encode
 
 from balsamtide.telemetry.cause import diagnose
-from balsamtide.telemetry.sink import RequestRecord
+from balsamtide.telemetry.sink import AuditRecord, RequestRecord
 from balsamtide.telemetry.stages import Stage
 from balsamtide.telemetry.telemetry import Telemetry
 from bench.figures import Figure
@@ -31,6 +32,7 @@
 MAX_MEMORY_MB = 16.0
 MINUTE_S = 60.0
 MEMORY_MINUTES = 25
+AUDIT_ENTRIES = 5000
 MEMORY_ROUTES = 20
 MEMORY_TARGETS = 12
 MEGABYTE = 2**20
@@ -130,7 +132,9 @@
     start_tracing()
     before = get_traced_memory()[0]
     telemetry = make_telemetry(clock)
-    _fill(telemetry, clock)
+    with open(devnull, "w") as sink:
+        telemetry.audit_trail.stream = sink
+        _fill(telemetry, clock)
     collect()
     megabytes = (get_traced_memory()[0] - before) / MEGABYTE
     stop_tracing()
@@ -146,6 +150,17 @@
 
 def _fill(telemetry: Telemetry, clock: FakeClock) -> None:
     random = Random(FIRST_SEED)
+    for number in range(AUDIT_ENTRIES):
+        telemetry.audit(
+            AuditRecord(
+                kind="entry",
+                subject=f"subject-{number}",
+                change=f"change-{number}",
+                version=number,
+                cause=f"cause-{number}",
+                actor=f"actor-{number}",
+            )
+        )
     for minute in range(MEMORY_MINUTES):
         clock.now = minute * MINUTE_S
         for route in range(MEMORY_ROUTES):
--- /dev/null
+++ b/src/balsamtide/cli/slow_report.py
@@ -0,0 +1,168 @@
+"""What `balsamctl slow` says of one service."""
+
+from collections.abc import Iterable
+
+from msgspec import Struct
+
+from balsamtide.telemetry.cause import diagnose
+from balsamtide.telemetry.cells import STAGES
+from balsamtide.telemetry.stages import Stage
+from balsamtide.telemetry.summary import (
+    GroupSummary,
+    RequestView,
+    Summary,
+    new_histogram,
+    quantile_s,
+)
+
+__all__ = ["RouteTimes", "SlowReport", "StageTime", "make_report"]
+
+
+class FindingLine(Struct, frozen=True):
+    """One cause, in words and in numbers.
+
+    Parameters
+    ----------
+    cause : str
+        Identifier of the cause.
+    sentence, action : str
+        What was found and what to do.
+    stage : str
+        Where the time went; empty if attempts failed without losing time.
+    scope_kind : str
+        By what the requests concerned are told from the others.
+    scope : tuple of str
+        Its values; empty for the whole service.
+    share : float
+        Requests concerned, as a share of the service's requests, 0 to 1.
+    lost_s : float
+        Mean time lost by a request concerned, seconds.
+    reason : str
+        Reason of failed attempts, if they decide.
+    """
+
+    cause: str
+    sentence: str
+    action: str
+    stage: str
+    scope_kind: str
+    scope: tuple[str, ...]
+    share: float
+    lost_s: float
+    reason: str
+
+
+class StageTime(Struct, frozen=True):
+    """Mean time of a request in one stage, seconds."""
+
+    stage: Stage
+    recent_s: float
+    baseline_s: float
+
+
+class RouteTimes(Struct, frozen=True):
+    """Total times of the recent requests of one route, seconds."""
+
+    route: str
+    requests: int
+    median_s: float
+    p99_s: float
+    largest_s: float
+
+
+class SlowReport(Struct, frozen=True):
+    """The answer to "it is slow" for one service.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service.
+    answer : str
+        The first finding, or why there is none.
+    findings : tuple of FindingLine
+        Causes, the first one before its consequences.
+    stages : tuple of StageTime
+        Mean times by stage, recent and before.
+    routes : tuple of RouteTimes
+        Total times by route.
+    slowest : tuple of RequestView
+        Slowest recent requests.
+    requests, baseline_requests : int
+        Requests compared.
+    instances, silent : tuple of str
+        Agents that are contained, and agents that did not answer.
+    """
+
+    service: str
+    answer: str
+    findings: tuple[FindingLine, ...]
+    stages: tuple[StageTime, ...]
+    routes: tuple[RouteTimes, ...]
+    slowest: tuple[RequestView, ...]
+    requests: int
+    baseline_requests: int
+    instances: tuple[str, ...]
+    silent: tuple[str, ...]
+
+
+def make_report(summary: Summary) -> SlowReport:
+    """Return the report on a merged summary."""
+    diagnosis = diagnose(summary)
+    return SlowReport(
+        service=summary.service,
+        answer=diagnosis.sentence,
+        findings=tuple(
+            FindingLine(
+                cause=finding.kind.value,
+                sentence=finding.sentence,
+                action=finding.action,
+                stage=finding.stage.value if finding.stage else "",
+                scope_kind=finding.scope.kind.value,
+                scope=finding.scope.names,
+                share=finding.share,
+                lost_s=finding.lost_s,
+                reason=finding.reason,
+            )
+            for finding in diagnosis.findings
+        ),
+        stages=_stage_times(summary),
+        routes=tuple(_route_times(summary)),
+        slowest=summary.slowest,
+        requests=diagnosis.requests,
+        baseline_requests=diagnosis.baseline_requests,
+        instances=summary.instances,
+        silent=summary.silent,
+    )
+
+
+def _stage_times(summary: Summary) -> tuple[StageTime, ...]:
+    recent = _means(summary.recent)
+    baseline = _means(summary.baseline)
+    return tuple(
+        StageTime(stage, recent.get(stage, 0.0), baseline.get(stage, 0.0))
+        for stage in STAGES
+        if stage in recent or stage in baseline
+    )
+
+
+def _means(groups: Iterable[GroupSummary]) -> dict[Stage, float]:
+    count = 0
+    seconds: dict[Stage, float] = {}
+    for group in groups:
+        count += group.count
+        for cells in group.stages:
+            seconds[cells.stage] = seconds.get(cells.stage, 0.0) + cells.seconds
+    return {stage: total / count for stage, total in seconds.items()}
+
+
+def _route_times(summary: Summary) -> Iterable[RouteTimes]:
+    for route in summary.routes:
+        histogram = new_histogram()
+        histogram.decode_and_add(route.encoded)
+        yield RouteTimes(
+            route=route.route,
+            requests=histogram.get_total_count(),
+            median_s=quantile_s(histogram, 50),
+            p99_s=quantile_s(histogram, 99),
+            largest_s=quantile_s(histogram, 100),
+        )
--- a/src/balsamtide/telemetry/admin.py
+++ b/src/balsamtide/telemetry/admin.py
@@ -11,12 +11,19 @@
 from msgspec.json import encode
 from trio import TASK_STATUS_IGNORED, TaskStatus, sleep_forever
 
+from balsamtide.config.model import Configuration
 from balsamtide.protocol.messages import Endpoint
 from balsamtide.telemetry.status import Status
 from balsamtide.telemetry.summary import RequestView, Summary
 from balsamtide.telemetry.telemetry import Telemetry
 
-__all__ = ["AdminApplication", "AdminError", "SlowRequests", "serve_admin"]
+__all__ = [
+    "AdminApplication",
+    "AdminError",
+    "NumberedConfiguration",
+    "SlowRequests",
+    "serve_admin",
+]
 
 JSON_TYPE = b"application/json"
 SHUTDOWN_S = 2.0
@@ -24,9 +31,6 @@
 Scope = dict[str, Any]
 Receive = Callable[[], Awaitable[dict[str, Any]]]
 Send = Callable[[dict[str, Any]], Awaitable[None]]
-StatusProvider = Callable[[], Status]
-SummaryProvider = Callable[[str], Awaitable[Summary]]
-RequestProvider = Callable[[str], Awaitable[RequestView | None]]
 
 
 class AdminError(Struct, frozen=True):
@@ -36,6 +40,24 @@
     hint: str
 
 
+class NumberedConfiguration(Struct, frozen=True):
+    """A configuration with its place in the log.
+
+    Parameters
+    ----------
+    version : int
+        Number of the last entry in force.
+    entry : int
+        Number of the last entry held.
+    configuration : Configuration
+        The configuration in force.
+    """
+
+    version: int
+    entry: int
+    configuration: Configuration
+
+
 class SlowRequests(Struct, frozen=True):
     """Requests of a service worth looking at.
 
@@ -51,6 +73,12 @@
     failed: tuple[RequestView, ...]
 
 
+StatusProvider = Callable[[], Status]
+SummaryProvider = Callable[[str], Awaitable[Summary]]
+ConfigurationProvider = Callable[[], NumberedConfiguration]
+RequestProvider = Callable[[str], Awaitable[RequestView | None]]
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Answer:
     """An HTTP answer."""
@@ -86,6 +114,8 @@
         is of this process alone if it is None.
     ask_request : callable or None
         Asks the peers for a request that this process does not know.
+    configuration : callable or None
+        Returns the configuration in force here.
     """
 
     def __init__(
@@ -95,14 +125,17 @@
         status: StatusProvider,
         ask_summary: SummaryProvider | None = None,
         ask_request: RequestProvider | None = None,
+        configuration: ConfigurationProvider | None = None,
     ) -> None:
         self.telemetry = telemetry
         self.status = status
         self.ask_summary = ask_summary
         self.ask_request = ask_request
+        self.configuration = configuration
         self.routes: dict[str, Callable[[Query], Awaitable[Answer]]] = {
             "/metrics": self._metrics,
             "/status": self._status,
+            "/configuration": self._configuration,
             "/audit": self._audit,
             "/events": self._events,
             "/slow": self._slow,
@@ -138,6 +171,11 @@
     async def _status(self, query: Query) -> Answer:
         return Answer(body=encode(self.status()))
 
+    async def _configuration(self, query: Query) -> Answer:
+        if self.configuration is None:
+            return _error(404, "no configuration is held here", "ask another daemon")
+        return Answer(body=encode(self.configuration()))
+
     async def _audit(self, query: Query) -> Answer:
         try:
             since = float(query.get("since") or 0.0)
--- a/src/balsamtide/telemetry/logging.py
+++ b/src/balsamtide/telemetry/logging.py
@@ -2,6 +2,7 @@
 
 from collections import deque
 from collections.abc import Callable, Iterator
+from contextlib import suppress
 from dataclasses import dataclass
 from datetime import UTC, datetime
 from itertools import count
@@ -20,6 +21,7 @@
 WINDOW_S = 10.0
 RECENT_EVENTS = 512
 MAX_VALUE_CHARACTERS = 200
+DEFAULT_HANDLER = 0
 
 FieldValue = str | int | float | bool | None
 handler_numbers = count(1)
@@ -67,6 +69,9 @@
 class EventLog:
     """Writes events to a stream through loguru.
 
+    Loguru's own handler, which would write every line to standard error as well, is
+    removed.
+
     Parameters
     ----------
     stream : text stream
@@ -100,6 +105,8 @@
         self.recent: deque[LoggedEvent] = deque(maxlen=RECENT_EVENTS)
         self.windows: dict[int, Window] = {}
         self.reported_fields: set[tuple[int, str]] = set()
+        with suppress(ValueError):
+            logger.remove(DEFAULT_HANDLER)
         name = f"balsamtide-{next(handler_numbers)}"
         self.logger = logger.bind(handler=name)
         self.handler = logger.add(
--- a/src/balsamtide/telemetry/registry.py
+++ b/src/balsamtide/telemetry/registry.py
@@ -31,7 +31,7 @@
     """Adds up metrics cheaply and hands them to aioprometheus when rendered.
 
     The bounds of the latency histogram are at most a factor of 1.5 apart, so that a
-    quantile read from it is off by less than 50% between 1 ms and 600 s.
+    quantile read from it is off by less than 50% between the first and the last.
 
     Parameters
     ----------
