--- a/src/balsamtide/telemetry/logging.py
+++ b/src/balsamtide/telemetry/logging.py
@@ -1,7 +1,7 @@
 """The log: numbered events as JSON lines or text, with repeats rate-limited."""
 
 from collections import deque
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from contextlib import suppress
 from dataclasses import dataclass
 from datetime import UTC, datetime
@@ -118,7 +118,8 @@
         )
 
     def close(self) -> None:
-        """Stop writing to the stream."""
+        """Log the counts of all repeats and stop writing to the stream."""
+        self._end_windows(list(self.windows))
         logger.remove(self.handler)
 
     def write(self, event: Event, fields: dict[str, Any]) -> None:
@@ -133,8 +134,12 @@
     def flush(self) -> None:
         """Log the counts of repeats whose window is over."""
         now = self.clock()
-        ended = [n for n, window in self.windows.items() if window.deadline <= now]
-        for number in ended:
+        self._end_windows(
+            [n for n, window in self.windows.items() if window.deadline <= now]
+        )
+
+    def _end_windows(self, numbers: Iterable[int]) -> None:
+        for number in numbers:
             window = self.windows.pop(number)
             if window.suppressed:
                 self._emit_repeats(number, window.suppressed)
--- a/src/balsamtide/telemetry/telemetry.py
+++ b/src/balsamtide/telemetry/telemetry.py
@@ -56,8 +56,9 @@
         wall_clock: Callable[[], float] = time,
     ) -> None:
         self.instance = instance
+        self.log_stream = sys.stderr if log_stream is None else log_stream
         self.event_log = EventLog(
-            sys.stderr if log_stream is None else log_stream,
+            self.log_stream,
             instance=instance,
             log_format=log_format,
             level=log_level,
@@ -119,7 +120,6 @@
 
     def close(self) -> None:
         """Log what is outstanding and stop logging."""
-        self.event_log.flush()
         self.event_log.close()
 
     def _report_series_limit(self, name: str) -> None:
