Start nothing on a leaving target, and follow GOAWAY in the caller library

Change: a leaving target starts nothing and hands over; the caller library notes the frame's type and opens a new flow; a stream that is gone is reported as gone. Some long requests still wait for their whole deadline.

--- a/src/balsamtide/admission/deadline_admission.py
+++ b/src/balsamtide/admission/deadline_admission.py
@@ -124,6 +124,7 @@
         self.offered: dict[str, _Offered] = {}
         self.transfers: dict[str, int] = {}
         self.is_draining = False
+        self.is_leaving = False
         self.next_retry = float("inf")
         self.configure(service, now)
 
@@ -148,6 +149,11 @@
         """Grant nothing to peers any more and prefer to hand work off."""
         self.is_draining = True
 
+    def use_state(self, *, is_leaving: bool) -> None:
+        """Take whether the target leaves; a leaving target starts nothing new."""
+        self.is_leaving = is_leaving
+        self.is_draining = is_leaving
+
     # Decisions about requests
 
     def arrive(self, request: RequestFacts, now: float) -> Sequence[Decision]:
@@ -284,7 +290,7 @@
     # Inner workings
 
     def _can_start(self, size: SizeClass, now: float) -> bool:
-        if self.slots.held >= self.limit.allowed(now):
+        if self.is_leaving or self.slots.held >= self.limit.allowed(now):
             return False
         if not self.health.takes_work(now, self.slots.held):
             return False
--- a/src/balsamtide/agent/flow_engine.py
+++ b/src/balsamtide/agent/flow_engine.py
@@ -9,7 +9,7 @@
 from heapq import heappop, heappush
 from math import inf
 
-from aioquic.h3.connection import H3_ALPN, ErrorCode
+from aioquic.h3.connection import H3_ALPN, ErrorCode, ProtocolError
 from aioquic.h3.events import DataReceived, H3Event, HeadersReceived
 from aioquic.quic.configuration import SMALLEST_MAX_DATAGRAM_SIZE, QuicConfiguration
 from aioquic.quic.events import (
@@ -66,6 +66,8 @@
 LOW_WATER_BYTES = 64 * 1024
 IDLE_TIMEOUT_S = 60.0
 RESET_BYTES = 41
+# What aioquic raises for data on a stream that was reset or finished.
+STREAM_GONE_ERRORS = (ProtocolError, RuntimeError, ValueError)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -313,7 +315,11 @@
         flow = self.flows.get(key.flow)
         if flow is None or key.stream not in flow.open_streams or flow.h3 is None:
             return False
-        command(flow.h3)
+        try:
+            command(flow.h3)
+        except STREAM_GONE_ERRORS:
+            # The caller reset the stream; its cancellation is under way.
+            return False
         self.dirty[key.flow] = flow
         return True
 
--- a/src/balsamtide/agent/work.py
+++ b/src/balsamtide/agent/work.py
@@ -35,7 +35,6 @@
 from balsamtide.agent.steering import PeerSteering
 from balsamtide.agent.succession import hand_over_ledgers
 from balsamtide.agent.target_client import TargetRunner
-from balsamtide.config.model import SizeClass
 from balsamtide.node.node import Node
 from balsamtide.node.rpc import client_context, serve_rpc, server_context
 from balsamtide.protocol.connection_id import Destination
@@ -55,6 +54,8 @@
 HOUSEKEEPING_PERIOD_S = 0.25
 DRAIN_IDLE_S = 1.0
 CLOSE_S = 0.5
+# Above every share of slot time, so that any peer that takes work is a candidate.
+ANY_BUSY_SHARE = 1.1
 
 
 class AgentWork:
@@ -106,7 +107,7 @@
         self.client = HandOffClient(
             view.rpc_endpoint,
             ssl=client_context(settings.rpc_tls),
-            on_round_trip=self.policy.peers.record_round_trip,
+            on_reply=self._record_reply,
         )
         self.runner = TargetRunner(Endpoint(view.target.host, view.target.port))
         self.executor = Executor(
@@ -190,8 +191,11 @@
 
     # Peers
 
+    def _record_reply(self, target: int, is_granted: bool, seconds: float) -> None:
+        self.policy.peers.record_reply(target, is_granted, seconds, current_time())
+
     def _best_peer(self, now: float) -> Endpoint | None:
-        chosen = self.policy.peers.choose(SizeClass.SHORT, now)
+        chosen = self.policy.peers.choose_idler(ANY_BUSY_SHARE, now)
         return self.view.agent_endpoint(chosen[0]) if chosen else None
 
     def _is_ready(self, now: float) -> bool:
@@ -214,7 +218,7 @@
         if is_leaving == self.is_leaving:
             return
         self.is_leaving = is_leaving
-        self.policy.is_draining = is_leaving
+        self.policy.use_state(is_leaving=is_leaving)
         self.engine.is_draining = is_leaving
         self._audit("target leaving" if is_leaving else "target active", "patch")
 
--- a/src/balsamtide/caller/caller.py
+++ b/src/balsamtide/caller/caller.py
@@ -167,26 +167,49 @@
         body: bytes = b"",
         timeout_s: float = 10.0,
     ) -> AsyncIterator[StreamedAnswer]:
-        """Send one request, without retries, and read its answer part by part.
+        """Send one request and read its answer part by part.
 
+        A try that did not run is repeated; nothing is, once the answer has begun.
         ``timeout_s`` is for the start of the answer.
+
+        Raises
+        ------
+        CallerError
+            If the answer did not begin, or broke off.
         """
-        deadline = current_time() + timeout_s
         call = Call(
             method=method,
             path=path,
             headers=headers,
             body=body,
             key=None,
-            deadline=deadline,
+            deadline=current_time() + timeout_s,
         )
-        flow = await self._flow(deadline)
-        pending = await flow.open_request(self._head(call, 1, b""), body)
+        flow, pending, answer = await self._open_stream(call)
         try:
-            yield await self._await_head(pending, deadline)
+            yield answer
         finally:
             flow.cancel_request(pending)
 
+    async def _open_stream(
+        self, call: Call
+    ) -> tuple[CallerFlowTask, PendingRequest, StreamedAnswer]:
+        self.budget.first_try()
+        attempt = 1
+        while True:
+            try:
+                flow = await self._flow(call.deadline)
+                headers = self._head(call, attempt, b"")
+                pending = await flow.open_request(headers, call.body)
+                answer = await self._await_head(pending, call.deadline)
+            except CallerError as error:
+                if not self._may_repeat(call, error.verdict, attempt):
+                    raise
+                await self._back_off(attempt, call.deadline, None)
+                attempt += 1
+                continue
+            return flow, pending, answer
+
     # Tries
 
     async def _try_repeatedly(self, call: Call) -> Answer:
--- a/src/balsamtide/caller/flow.py
+++ b/src/balsamtide/caller/flow.py
@@ -3,7 +3,6 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from aioquic.buffer import Buffer
 from aioquic.h3.connection import H3_ALPN, ErrorCode, FrameType, H3Connection
 from aioquic.h3.events import DataReceived, HeadersReceived
 from aioquic.quic.configuration import QuicConfiguration
@@ -115,14 +114,18 @@
 
 
 class ClientH3Connection(H3Connection):
-    """HTTP/3 with the caller's side of GOAWAY."""
+    """HTTP/3 with the caller's side of GOAWAY.
 
-    goaway_stream: int | None = None
+    aioquic skips the payload of GOAWAY, so only its arrival is known; requests that
+    the other end does not process are reset by it with ``H3_REQUEST_REJECTED``.
+    """
+
+    is_going_away = False
 
-    def _handle_control_frame(self, frame_type: int, frame_data: bytes) -> None:
+    def _check_control_frame_type(self, frame_type: int) -> None:
+        super()._check_control_frame_type(frame_type)
         if frame_type == FrameType.GOAWAY:
-            self.goaway_stream = Buffer(data=frame_data).pull_uint_var()
-        super()._handle_control_frame(frame_type, frame_data)
+            self.is_going_away = True
 
 
 class CallerFlow:
@@ -155,9 +158,7 @@
     @property
     def is_going_away(self) -> bool:
         """Whether new requests belong on another flow."""
-        return self.is_ended or (
-            self.h3 is not None and self.h3.goaway_stream is not None
-        )
+        return self.is_ended or (self.h3 is not None and self.h3.is_going_away)
 
     def open_request(
         self, headers: Sequence[Header], body: bytes, *, is_ended: bool = True
@@ -260,7 +261,6 @@
         while event is not None:
             self._handle(event)
             event = self.connection.next_event()
-        self._reject_refused()
 
     def _handle(self, event: QuicEvent) -> None:
         if isinstance(event, HandshakeCompleted):
@@ -305,11 +305,3 @@
         is_rejected = error_code == ErrorCode.H3_REQUEST_REJECTED
         broken = RequestRejected(stream) if is_rejected else StreamBroken(stream)
         self.events.append(broken)
-
-    def _reject_refused(self) -> None:
-        if self.h3 is None or self.h3.goaway_stream is None:
-            return
-        limit = self.h3.goaway_stream
-        for stream in [s for s in self.open_streams if s >= limit]:
-            self.open_streams.discard(stream)
-            self.events.append(RequestRejected(stream))
--- a/src/balsamtide/membership/state_rpc.py
+++ b/src/balsamtide/membership/state_rpc.py
@@ -21,7 +21,7 @@
 from balsamtide.config.port import Snapshot
 from balsamtide.membership.log import EntryLog
 from balsamtide.protocol.messages import Endpoint, Entry, Mark
-from balsamtide.protocol.rpc import RpcCodec
+from balsamtide.protocol.rpc import RPC_ERRORS, RpcCodec
 
 __all__ = [
     "State",
@@ -201,7 +201,7 @@
             return await aio_as_trio(_fetch)(endpoint, after, ssl)
     except trio.TooSlowError as error:
         raise StateError("no state by the deadline") from error
-    except (GRPCError, OSError, ValueError) as error:
+    except (*RPC_ERRORS, ValueError) as error:
         raise StateError(f"{type(error).__name__}: {error}"[:200]) from error
 
 
--- a/src/balsamtide/protocol/rpc.py
+++ b/src/balsamtide/protocol/rpc.py
@@ -7,13 +7,24 @@
 from typing import Any
 
 from grpclib.encoding.base import CodecBase
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 from msgspec import DecodeError as MsgspecDecodeError
 from msgspec import ValidationError
 from msgspec.msgpack import decode, encode
 
 from balsamtide.protocol.errors import DecodeError, DecodeFault
 
-__all__ = ["RpcCodec"]
+__all__ = ["RPC_ERRORS", "RpcCodec"]
+
+# Everything that a call can raise when the peer or the way to it fails.
+RPC_ERRORS = (
+    DecodeError,
+    GRPCError,
+    OSError,
+    ProtocolError,
+    StreamTerminatedError,
+    TimeoutError,
+)
 
 
 class RpcCodec(CodecBase):
