Exchange load reports with draining targets

Cause: a draining target was no neighbour of its peers, so it got no load reports, could hand off nothing, and its requests waited for their whole deadline. Change: draining targets are neighbours; they report that they take no work.

--- a/src/balsamtide/admission/neighbours.py
+++ b/src/balsamtide/admission/neighbours.py
@@ -16,13 +16,18 @@
 
 
 def neighbours(service: Service, own: int) -> tuple[Target, ...]:
-    """Return the active targets that the agent of target ``own`` talks to."""
-    active = [t for t in service.targets.values() if t.state is TargetState.ACTIVE]
-    others = [target for target in active if target.number != own]
+    """Return the targets whose agents the agent of target ``own`` talks to.
+
+    A draining target is among them: it takes no work, and has work to hand off.
+    """
+    usable = [
+        t for t in service.targets.values() if t.state is not TargetState.DISABLED
+    ]
+    others = [target for target in usable if target.number != own]
     if len(others) <= MOST_NEIGHBOURS:
         return tuple(sorted(others, key=lambda t: t.number))
     ring = sorted(
-        [t for t in service.targets.values() if t in active or t.number == own],
+        [t for t in service.targets.values() if t in usable or t.number == own],
         key=lambda t: xxh3_64_intdigest(f"{service.number}:{t.number}".encode()),
     )
     position = next(i for i, target in enumerate(ring) if target.number == own)
--- a/src/balsamtide/agent/execution.py
+++ b/src/balsamtide/agent/execution.py
@@ -19,7 +19,8 @@
 
 __all__ = ["Body", "Executor", "HandOff", "Job"]
 
-MOST_TRIES = 8
+# The policy bounds transfers itself; this only ends a loop that never would.
+MOST_TRIES = 64
 QUEUE_STAGES = {
     "": Stage.QUEUED_SHORT,
     "short": Stage.QUEUED_SHORT,
