Let offers wait for a slot at several peers at once

An offer that found no free slot was denied and asked again; a request behind long work needed many rounds. The wait of short work on several slots is now estimated from the slots that long work leaves.

--- a/bench/load_model.py
+++ b/bench/load_model.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field, replace
+from functools import partial
 from heapq import heappop, heappush
 from random import Random
 
@@ -25,10 +26,10 @@
 from balsamtide.protocol.verdict import Verdict
 from balsamtide.requests.exits import Exit
 from balsamtide.requests.hand_off import (
-    OFFER_TIMEOUT_S,
     Giver,
     Taker,
 )
+from balsamtide.requests.messages import Granted
 from balsamtide.requests.model import Outcome, RequestFacts
 from balsamtide.telemetry.memory_sink import MemorySink
 
@@ -206,6 +207,28 @@
     running: dict[str, float] = field(default_factory=dict)
 
 
+@dataclass(slots=True)
+class Race:
+    """Offers of one request at several peers.
+
+    Parameters
+    ----------
+    agent : int
+        The taker.
+    request_id : str
+        The request.
+    open : set of int
+        Peers that have not replied.
+    is_won : bool
+        Whether a grant was used.
+    """
+
+    agent: int
+    request_id: str
+    open: set[int]
+    is_won: bool = False
+
+
 PolicyFactory = Callable[[Service, int, float, Random], AdmissionPolicy]
 
 
@@ -262,6 +285,7 @@
         self.codec = DatagramCodec(KEYS)
         self.weights = {n: 1.0 for n in numbers}
         self.dead: set[int] = set()
+        self.waiting: dict[tuple[int, str], Callable[[], None]] = {}
 
     def _policy(self, number: int) -> AdmissionPolicy:
         random = Random(self.random.getrandbits(32))
@@ -344,15 +368,24 @@
                     self._start(agent, agent, request_id)
                 case Transfer(request_id, targets):
                     self.records[request_id].transfers += 1
-                    self._offer(agent, request_id, list(targets))
+                    self._offer(agent, request_id, targets)
                 case Refused(request_id, refusal):
                     self._end(
                         request_id,
                         Outcome(verdict=refusal.verdict, status=refusal.status),
                     )
+        self._wake(agent)
         self._report(agent)
         self._schedule_tick(agent)
 
+    def _wake(self, agent: int) -> None:
+        policy = self.policies[agent]
+        if isinstance(policy, DeadlineAdmission):
+            for request_id in policy.take_granted():
+                call = self.waiting.pop((agent, request_id), None)
+                if call is not None:
+                    call()
+
     def _schedule_tick(self, agent: int) -> None:
         due = max(self.policies[agent].deadline, self.now + 0.001)
         if due >= self.ticks.get(agent, NEVER):
@@ -386,53 +419,69 @@
 
     # Hand-off
 
-    def _offer(self, agent: int, request_id: str, targets: list[int]) -> None:
-        if agent in self.dead:
-            return
-        if not targets:
-            self.apply(
-                agent, self.policies[agent].transfer_failed(request_id, self.now)
-            )
-            return
-        peer = targets.pop(0)
-        taker = Taker(self.records[request_id].facts, self.now)
+    def _offer(self, agent: int, request_id: str, targets: Sequence[int]) -> None:
+        race = Race(agent, request_id, set(targets))
+        for peer in targets:
+            self._offer_one(race, peer)
+
+    def _offer_one(self, race: "Race", peer: int) -> None:
+        taker = Taker(self.records[race.request_id].facts, self.now)
         offer = taker.offer(self.now)
         self.offers += 1
-        sent_at = self.now
-        is_answered = False
 
         def receive() -> None:
             if peer in self.dead:
                 return
             giver = Giver(offer, self.now)
-            is_granted = self.policies[peer].offer(
-                giver.facts, giver.grant_deadline, self.now
-            )
+            policy = self.policies[peer]
+            facts = giver.facts
+            if policy.offer(facts, giver.grant_deadline, self.now):
+                self._granted(race, peer, taker, giver)
+            elif isinstance(policy, DeadlineAdmission) and policy.await_slot(
+                facts, giver.wait_deadline, self.now
+            ):
+                call = partial(self._granted, race, peer, taker, giver)
+                self.waiting[peer, race.request_id] = call
+            else:
+                self._later(lambda: self._denied(race, peer, taker))
             self._schedule_tick(peer)
-            self._later(lambda: answer(giver, is_granted))
 
-        def answer(giver: Giver, is_granted: bool) -> None:
-            nonlocal is_answered
-            if is_answered or agent in self.dead:
-                return
-            is_answered = True
-            self._reply(agent, peer, is_granted, sent_at)
-            if is_granted:
-                taker.granted()
-            if is_granted and taker.use(self.now):
-                self._later(lambda: self._use_grant(agent, peer, giver))
-                return
-            self._offer(agent, request_id, targets)
+        self._later(receive)
+        self.at(taker.answer_deadline, lambda: self._denied(race, peer, taker))
 
-        def give_up() -> None:
-            nonlocal is_answered
-            if not is_answered and agent not in self.dead:
-                is_answered = True
-                self._reply(agent, peer, False, sent_at)
-                self._offer(agent, request_id, targets)
+    def _granted(self, race: "Race", peer: int, taker: Taker, giver: Giver) -> None:
+        grant = giver.granted(self.now)
+        self._later(lambda: self._use(race, peer, taker, giver, grant))
 
-        self._later(receive)
-        self.at(self.now + OFFER_TIMEOUT_S, give_up)
+    def _denied(self, race: "Race", peer: int, taker: Taker) -> None:
+        if race.is_won or peer not in race.open or race.agent in self.dead:
+            return
+        race.open.discard(peer)
+        self._reply(race.agent, peer, False, self.now - taker.sent_at)
+        if not race.open:
+            policy = self.policies[race.agent]
+            self.apply(race.agent, policy.transfer_failed(race.request_id, self.now))
+
+    def _use(
+        self, race: "Race", peer: int, taker: Taker, giver: Giver, grant: Granted
+    ) -> None:
+        if race.is_won or peer not in race.open or race.agent in self.dead:
+            self._later(lambda: self._withdraw(peer, race.request_id))
+            return
+        self._reply(race.agent, peer, True, self.now - taker.sent_at)
+        taker.granted(grant)
+        if not taker.use(self.now):
+            self._denied(race, peer, taker)
+            return
+        race.is_won = True
+        self._later(lambda: self._use_grant(race.agent, peer, giver))
+        for other in race.open - {peer}:
+            self._later(partial(self._withdraw, other, race.request_id))
+
+    def _withdraw(self, peer: int, request_id: str) -> None:
+        self.waiting.pop((peer, request_id), None)
+        if peer not in self.dead:
+            self.apply(peer, self.policies[peer].cancel(request_id, self.now))
 
     def _reply(self, agent: int, peer: int, is_granted: bool, sent_at: float) -> None:
         policy = self.policies[agent]
--- a/src/balsamtide/admission/__init__.py
+++ b/src/balsamtide/admission/__init__.py
@@ -5,6 +5,7 @@
     DeadlineAdmission,
 )
 from balsamtide.admission.fifo_admission import FifoAdmission
+from balsamtide.admission.offer_desk import OfferDesk
 from balsamtide.admission.peer_loads import PeerLoads
 from balsamtide.admission.policy import (
     AdmissionPolicy,
@@ -20,6 +21,7 @@
     "DeadlineAdmission",
     "Decision",
     "FifoAdmission",
+    "OfferDesk",
     "PeerLoads",
     "Refused",
     "Start",
--- a/src/balsamtide/admission/deadline_admission.py
+++ b/src/balsamtide/admission/deadline_admission.py
@@ -33,6 +33,7 @@
 from balsamtide.protocol.messages import Endpoint, LoadReport
 from balsamtide.protocol.verdict import Verdict
 from balsamtide.requests.exits import Exit
+from balsamtide.requests.hand_off import GRANT_S
 from balsamtide.requests.model import Outcome, RequestFacts
 from balsamtide.telemetry.sink import AuditRecord, Sink
 
@@ -42,7 +43,7 @@
 LATE_FACTOR = 3.0
 TRANSFER_RETRY_S = 0.005
 MOST_TRANSFERS = 32
-SHORTEST_TRANSFER_WAIT_S = 0.003
+SHORTEST_TRANSFER_WAIT_S = 0.005
 REMOTE_WAIT_S = 0.01
 BUSY_MARGIN = 0.03
 BUSY_GAIN = 3.0
@@ -122,6 +123,7 @@
             for size in (SizeClass.SHORT, SizeClass.LONG)
         }
         self.offered: dict[str, _Offered] = {}
+        self.granted: list[str] = []
         self.transfers: dict[str, int] = {}
         self.is_draining = False
         self.next_retry = float("inf")
@@ -208,15 +210,35 @@
             return False
         if self.queues[size] or not self._can_start(size, now):
             return False
-        self.slots.reserved[request.request_id] = Holder(
-            route=request.route,
-            size=size,
-            since=now,
-            service_time_s=self.times.mean(request.route),
-            void_at=grant_deadline,
-        )
+        self._reserve(request, size, grant_deadline, now)
+        return True
+
+    def await_slot(
+        self, request: RequestFacts, wait_deadline: float, now: float
+    ) -> bool:
+        """Queue a peer's offer that got no slot until ``wait_deadline``.
+
+        It waits in the same order as the agent's own requests.  A slot that becomes
+        free for it is reserved, and ``take_granted`` returns the request.
+        """
+        size = self.classes.size(request.route)
+        queue = self.queues[size]
+        if self.is_draining or queue.is_full or request.request_id in queue:
+            return False
+        if size is SizeClass.LONG and not self._long_quota(now):
+            return False
+        if not self.health.takes_work(now, 0):
+            return False
+        entry = queue.place(request, 0.0)
+        entry.expires_at = min(wait_deadline, request.deadline)
+        queue.add(entry)
         return True
 
+    def take_granted(self) -> Sequence[str]:
+        """Return the peers' requests that got a slot since the last call."""
+        granted, self.granted = self.granted, []
+        return granted
+
     def use_grant(self, request_id: str, now: float) -> bool:
         """Turn a reservation into a start; False if it has expired."""
         holder = self.slots.reserved.get(request_id)
@@ -311,6 +333,22 @@
         self.sink.count(ADMITTED, size=size.value)
         return Start(request.request_id, cause)
 
+    def _reserve(
+        self, request: RequestFacts, size: SizeClass, void_at: float, now: float
+    ) -> None:
+        self.slots.reserved[request.request_id] = Holder(
+            route=request.route,
+            size=size,
+            since=now,
+            service_time_s=self.times.mean(request.route),
+            void_at=void_at,
+        )
+
+    def _grant(self, entry: Waiting, size: SizeClass, now: float) -> None:
+        void_at = min(now + GRANT_S, entry.deadline)
+        self._reserve(entry.request, size, void_at, now)
+        self.granted.append(entry.request.request_id)
+
     def _choose(
         self, request: RequestFacts, size: SizeClass, now: float
     ) -> tuple[int, ...]:
@@ -397,13 +435,21 @@
             return 0.0
         if size is SizeClass.LONG:
             return self._long_wait_s(queued, now)
-        held = self.slots.remaining_work(now)
-        return (held + queued) / max(1, self.limit.allowed(now))
+        return self._short_wait_s(queued, now)
+
+    def _short_wait_s(self, queued: float, now: float) -> float:
+        held = sum(self.slots.remaining_work(SizeClass.SHORT, now))
+        left = self.limit.allowed(now) - self.slots.held_by_long
+        if left > 0:
+            return (held + queued) / left
+        long_work = self.slots.remaining_work(SizeClass.LONG, now)
+        return min(long_work, default=0.0) + queued
 
     def _long_wait_s(self, queued: float, now: float) -> float:
         own = self._long_quota(now)
         if own:
-            return (self.slots.remaining_work(now) + queued) / own
+            held = sum(self.slots.remaining_work(SizeClass.LONG, now))
+            return (held + queued) / own
         shortest = self.peers.shortest_wait(SizeClass.LONG, now, self.quotas) or 0.0
         total = max(1, sum(self.quotas.values()))
         return shortest + queued * len(self.quotas) / total
@@ -427,10 +473,15 @@
         decisions: list[Decision] = []
         for queue in self.queues.values():
             for entry in queue.hopeless(now):
+                if entry.is_offer:
+                    continue
                 decisions.append(self._refuse(entry.request, Exit.DEADLINE, 0.0))
         for size, queue in self.queues.items():
             while queue and self._can_start(size, now):
                 entry = queue.take()
+                if entry.is_offer:
+                    self._grant(entry, size, now)
+                    continue
                 decisions.append(self._start(entry.request, size, entry.cause, now))
         decisions += self._hand_off_queued(now)
         return decisions
@@ -438,14 +489,12 @@
     def _hand_off_queued(self, now: float) -> list[Decision]:
         decisions: list[Decision] = []
         for size, queue in self.queues.items():
-            head = queue.head()
-            while head is not None:
-                targets = self._choose(head.request, size, now)
+            for entry in queue.own():
+                targets = self._choose(entry.request, size, now)
                 if not targets:
                     break
-                queue.remove(head.request.request_id)
-                decisions.append(self._transfer(head.request, size, targets))
-                head = queue.head()
+                queue.remove(entry.request.request_id)
+                decisions.append(self._transfer(entry.request, size, targets))
         waiting = any(self.queues.values()) and self.peers.loads
         self.next_retry = now + TRANSFER_RETRY_S if waiting else float("inf")
         return decisions
--- a/src/balsamtide/admission/deadline_queue.py
+++ b/src/balsamtide/admission/deadline_queue.py
@@ -2,6 +2,7 @@
 
 from bisect import bisect_left, insort
 from dataclasses import dataclass, field
+from math import inf
 
 from balsamtide.requests.model import RequestFacts
 
@@ -28,6 +29,8 @@
         Expected time on the target.
     cause : str
         What it waits for, see ``Start.queued_behind``.
+    expires_at : float
+        When a peer's offer ends; infinite for a request of this agent.
     """
 
     rank: int
@@ -37,6 +40,17 @@
     request: RequestFacts = field(compare=False)
     service_time_s: float = field(compare=False)
     cause: str = field(compare=False, default="")
+    expires_at: float = field(compare=False, default=inf)
+
+    @property
+    def is_offer(self) -> bool:
+        """Whether a peer offers the request and waits for a grant."""
+        return self.expires_at < inf
+
+    @property
+    def latest_start(self) -> float:
+        """When it has to start at the latest."""
+        return min(self.expires_at, self.deadline - self.service_time_s)
 
 
 class DeadlineQueue:
@@ -94,9 +108,9 @@
         self.arrivals += 1
         self.work_s += entry.service_time_s
 
-    def head(self) -> Waiting | None:
-        """Return the next request, or None."""
-        return self.entries[0] if self.entries else None
+    def own(self) -> list[Waiting]:
+        """Return the requests of this agent, in order of service."""
+        return [entry for entry in self.entries if not entry.is_offer]
 
     def take(self) -> Waiting:
         """Remove and return the next request."""
@@ -127,8 +141,8 @@
         self.work_s = 0.0
 
     def hopeless(self, now: float) -> list[Waiting]:
-        """Remove and return the requests that can't finish by their deadline."""
-        late = [e for e in self.entries if now + e.service_time_s > e.deadline]
+        """Remove and return expired offers and requests that can't finish in time."""
+        late = [e for e in self.entries if now >= e.latest_start]
         for entry in late:
             self.remove(entry.request.request_id)
         return late
@@ -136,6 +150,4 @@
     @property
     def latest_start(self) -> float:
         """Earliest of the times by which a waiting request has to start."""
-        return min(
-            (e.deadline - e.service_time_s for e in self.entries), default=float("inf")
-        )
+        return min((e.latest_start for e in self.entries), default=inf)
--- a/src/balsamtide/admission/slot_table.py
+++ b/src/balsamtide/admission/slot_table.py
@@ -53,13 +53,14 @@
             for holder in table.values()
         )
 
-    def remaining_work(self, now: float) -> float:
-        """Return the expected work left in the held slots, seconds."""
-        return sum(
+    def remaining_work(self, size: SizeClass, now: float) -> list[float]:
+        """Return the expected work left in each slot held by ``size``, seconds."""
+        return [
             max(0.1 * holder.service_time_s, holder.since + holder.service_time_s - now)
             for table in (self.running, self.reserved)
             for holder in table.values()
-        )
+            if holder.size is size
+        ]
 
     def release(self, request_id: str) -> Holder | None:
         """Free the slot of a request."""
--- a/src/balsamtide/requests/hand_off.py
+++ b/src/balsamtide/requests/hand_off.py
@@ -1,21 +1,23 @@
 """Bookkeeping of one hand-off on both sides, without I/O.
 
 The *taker* holds the caller's flow and offers the request; the *giver* grants a slot
-of its target.  A grant is void after its deadline on both sides; the taker counts
-from when it sent the offer, the giver from when it received it, so the taker's
-deadline never is the later one by the giver's clock.
+of its target, at once or when one becomes free while the taker waits.  A grant is
+void after its deadline on both sides; the taker counts from when it sent the offer
+plus the giver's own account of the wait, the giver from when it reserved the slot, so
+the taker's deadline never is the later one.
 """
 
 from enum import Enum
 
 from balsamtide.protocol.verdict import Verdict
 from balsamtide.requests.exits import Exit
-from balsamtide.requests.messages import Finished, Offer, RequestCard
+from balsamtide.requests.messages import Finished, Granted, Offer, RequestCard
 from balsamtide.requests.model import Outcome, RequestFacts
 
 __all__ = [
     "GRANT_S",
-    "OFFER_TIMEOUT_S",
+    "OFFER_WAIT_S",
+    "REPLY_MARGIN_S",
     "SILENCE_S",
     "Giver",
     "Taker",
@@ -26,7 +28,8 @@
 ]
 
 GRANT_S = 0.05
-OFFER_TIMEOUT_S = 0.01
+OFFER_WAIT_S = 0.03
+REPLY_MARGIN_S = 0.01
 HOME_TIMEOUT_S = 0.5
 BEAT_S = 1.0
 SILENCE_S = 3.0
@@ -111,17 +114,22 @@
     def __init__(self, facts: RequestFacts, now: float) -> None:
         self.facts = facts
         self.state = TakerState.OFFERED
-        self.grant_deadline = min(now + GRANT_S, facts.deadline)
-        self.answer_deadline = min(now + OFFER_TIMEOUT_S, facts.deadline)
+        self.sent_at = now
+        self.grant_deadline = now
+        self.answer_deadline = min(now + OFFER_WAIT_S + REPLY_MARGIN_S, facts.deadline)
         self.home_deadline = min(now + HOME_TIMEOUT_S, facts.deadline)
 
     def offer(self, now: float) -> Offer:
         """Return the offer."""
-        remaining = max(0, int((self.grant_deadline - now) * US_PER_S))
-        return Offer(card_of(self.facts, now), remaining)
+        return Offer(card_of(self.facts, now), int(OFFER_WAIT_S * US_PER_S))
 
-    def granted(self) -> None:
+    def granted(self, message: Granted) -> None:
         """Take the grant."""
+        reserved = self.sent_at + message.waited_us / US_PER_S
+        self.grant_deadline = min(
+            reserved + min(GRANT_S, message.remaining_us / US_PER_S),
+            self.facts.deadline,
+        )
         self.state = TakerState.GRANTED
 
     def use(self, now: float) -> bool:
@@ -163,14 +171,20 @@
 
     def __init__(self, offer: Offer, now: float) -> None:
         self.facts = facts_of(offer.card, now)
-        self.grant_deadline = min(
-            now + min(GRANT_S, offer.grant_us / US_PER_S), self.facts.deadline
+        self.received_at = now
+        self.wait_deadline = min(
+            now + min(OFFER_WAIT_S, offer.wait_us / US_PER_S), self.facts.deadline
         )
+        self.grant_deadline = min(now + GRANT_S, self.facts.deadline)
         self.is_used = False
 
-    def remaining_us(self, now: float) -> int:
-        """Return the time left to use the grant, microseconds."""
-        return max(0, int((self.grant_deadline - now) * US_PER_S))
+    def granted(self, now: float) -> Granted:
+        """Return the grant of a slot that was reserved at ``now``."""
+        self.grant_deadline = min(now + GRANT_S, self.facts.deadline)
+        return Granted(
+            max(0, int((self.grant_deadline - now) * US_PER_S)),
+            max(0, int((now - self.received_at) * US_PER_S)),
+        )
 
     def use(self, now: float) -> bool:
         """Tell whether a run message that came now may start; True only once."""
--- a/src/balsamtide/requests/hand_off_client.py
+++ b/src/balsamtide/requests/hand_off_client.py
@@ -258,7 +258,7 @@
     def runner(
         self, targets: Sequence[int], keyed: KeyedRun | None = None
     ) -> "HandOffRunner":
-        """Return a runner that offers a request to ``targets`` in turn."""
+        """Return a runner that offers a request to all ``targets``."""
         return HandOffRunner(self, targets, keyed)
 
     def home_runner(self, ask: AskHome) -> "HomeRunner":
@@ -299,8 +299,22 @@
         return LedgerTransfer.ADOPTED if reply.is_adopted else LedgerTransfer.REFUSED
 
 
+class _Race:
+    """Offers of one request at several peers; the first grant ends the others."""
+
+    def __init__(self) -> None:
+        self.scopes: dict[int, CancelScope] = {}
+        self.outcome: Outcome | None = None
+
+    def win(self, target: int) -> None:
+        """Cancel all but ``target``."""
+        for other, scope in self.scopes.items():
+            if other != target:
+                scope.cancel()
+
+
 class HandOffRunner(Runner):
-    """Offers a request to peers in turn and runs it at the first that grants.
+    """Offers a request to peers at once and runs it at the first that grants.
 
     The outcome ``NOT_RUN`` with the reason ``"no-grant"`` says that no peer granted
     and that the body was not touched.  ``attempts`` lists the failures and ``target``
@@ -334,25 +348,35 @@
     ) -> Outcome:
         """Run the request at a peer."""
         parts = RequestParts(facts, head, body, answer)
-        for target in self.targets:
+        race = _Race()
+        async with open_nursery() as nursery:
+            for target in self.targets:
+                nursery.start_soon(self._contend, target, race, parts)
+        return race.outcome or Exit.NO_GRANT.outcome()
+
+    async def _contend(self, target: int, race: "_Race", parts: RequestParts) -> None:
+        with CancelScope() as scope:
+            race.scopes[target] = scope
             try:
-                return await self._attempt(target, parts)
+                race.outcome = await self._attempt(target, race, parts)
             except GrantError as error:
                 self.attempts.append(error)
-        return Exit.NO_GRANT.outcome()
 
     @property
     def error(self) -> AttemptsFailed:
         """The failed attempts as one error."""
         return AttemptsFailed("no peer took the request", self.attempts)
 
-    async def _attempt(self, target: int, parts: RequestParts) -> Outcome:
+    async def _attempt(
+        self, target: int, race: "_Race", parts: RequestParts
+    ) -> Outcome:
         """Raise ``GrantError`` as long as nothing but the offer was sent."""
         taker = Taker(parts.facts, current_time())
         method = self.client.exchange(target)
         try:
             async with _open(method) as stream:
                 await self._offer(stream, taker, target)
+                race.win(target)
                 return await self._run_granted(stream, taker, parts, target)
         except LOST as error:
             if taker.state in (TakerState.OFFERED, TakerState.GRANTED):
@@ -372,7 +396,7 @@
             raise GrantError(Exit.NO_GRANT.reason, f"target {target}: {reply.reason}")
         if not isinstance(reply, Granted):
             raise GrantError(Exit.NO_GRANT.reason, f"target {target} did not answer")
-        taker.granted()
+        taker.granted(reply)
 
     def _report_reply(self, target: int, is_granted: bool, seconds: float) -> None:
         if self.client.on_reply is not None:
--- a/src/balsamtide/requests/hand_off_host.py
+++ b/src/balsamtide/requests/hand_off_host.py
@@ -16,8 +16,14 @@
     """What an agent does for its peers; all methods are called in trio tasks."""
 
     @abstractmethod
-    def offer(self, facts: RequestFacts, grant_deadline: float) -> bool:
-        """Reserve a slot until ``grant_deadline``, as ``AdmissionPolicy.offer``."""
+    async def offer(
+        self, facts: RequestFacts, grant_deadline: float, wait_deadline: float
+    ) -> bool:
+        """Reserve a slot; True at the moment when one is reserved.
+
+        A slot that is free now is reserved until ``grant_deadline``; one that becomes
+        free before ``wait_deadline`` for ``GRANT_S``.  ``OfferDesk`` does this.
+        """
 
     @abstractmethod
     def use_grant(self, request_id: str) -> bool:
@@ -25,7 +31,7 @@
 
     @abstractmethod
     def withdraw(self, request_id: str) -> None:
-        """Free a reservation that is not going to be used."""
+        """Forget an offer: free its reservation, or stop waiting for a slot."""
 
     @abstractmethod
     async def run_granted(
--- a/src/balsamtide/requests/hand_off_server.py
+++ b/src/balsamtide/requests/hand_off_server.py
@@ -136,18 +136,14 @@
         self, offer: Offer, stream: Any, answer: StreamAnswer
     ) -> None:
         giver = Giver(offer, current_time())
-        if not self.host.offer(giver.facts, giver.grant_deadline):
-            await answer.send(Denied("no-slot"))
-            return
         is_started = False
         try:
-            run = await self._await_run(giver, stream, answer)
+            run = await self._grant(giver, stream, answer)
             is_started = run is not None
         finally:
             if not is_started:
                 self.host.withdraw(giver.facts.request_id)
         if run is None:
-            await answer.send(finished_of(Exit.GRANT_EXPIRED.outcome()))
             return
         head = RequestHead(giver.facts.method, run.path, run.headers)
         body = _body(stream)
@@ -156,16 +152,26 @@
         )
         await answer.send(finished_of(outcome))
 
-    async def _await_run(
+    async def _grant(
         self, giver: Giver, stream: Any, answer: StreamAnswer
     ) -> Run | None:
+        """Grant a slot and return the run message that used it."""
+        is_granted = await self.host.offer(
+            giver.facts, giver.grant_deadline, giver.wait_deadline
+        )
+        if not is_granted:
+            await answer.send(Denied("no-slot"))
+            return None
+        grant = giver.granted(current_time())
         message = None
         with move_on_at(giver.grant_deadline):
-            await answer.send(Granted(giver.remaining_us(current_time())))
+            await answer.send(grant)
             message = await aio_as_trio(stream.recv_message)()
-        if not isinstance(message, Run) or not giver.use(current_time()):
-            return None
-        return message if self.host.use_grant(giver.facts.request_id) else None
+        is_used = isinstance(message, Run) and giver.use(current_time())
+        if is_used and self.host.use_grant(giver.facts.request_id):
+            return message
+        await answer.send(finished_of(Exit.GRANT_EXPIRED.outcome()))
+        return None
 
     async def _serve_repeat(
         self, ask: AskRun, stream: Any, answer: StreamAnswer
--- a/src/balsamtide/requests/messages.py
+++ b/src/balsamtide/requests/messages.py
@@ -49,12 +49,12 @@
     ----------
     card : RequestCard
         The request.
-    grant_us : int
-        How long the sender will wait for and use a grant.
+    wait_us : int
+        How long the sender waits for a grant.
     """
 
     card: RequestCard
-    grant_us: int
+    wait_us: int
 
 
 class Run(Struct, frozen=True, array_like=True, tag=2):
@@ -81,13 +81,22 @@
 
 
 class Granted(Struct, frozen=True, array_like=True, tag=1):
-    """A slot is reserved for ``remaining_us``."""
+    """A slot is reserved.
+
+    Parameters
+    ----------
+    remaining_us : int
+        Time until the reservation ends.
+    waited_us : int
+        Time from the receipt of the offer to the reservation.
+    """
 
     remaining_us: int
+    waited_us: int = 0
 
 
 class Denied(Struct, frozen=True, array_like=True, tag=2):
-    """No slot is free."""
+    """No slot became free."""
 
     reason: str
 
--- a/tests/fakes_hand_off.py
+++ b/tests/fakes_hand_off.py
@@ -51,7 +51,7 @@
         self.runs = []
         self.cancelled = []
 
-    def offer(self, facts, grant_deadline):
+    async def offer(self, facts, grant_deadline, wait_deadline):
         """Grant if told so."""
         if self.grants:
             self.reserved[facts.request_id] = grant_deadline
--- a/tests/test_requests_hand_off.py
+++ b/tests/test_requests_hand_off.py
@@ -3,7 +3,7 @@
 from dataclasses import replace
 
 import trio
-from pytest import mark
+from pytest import approx, mark
 from trio.testing import MockClock
 from trio_asyncio import aio_as_trio
 
@@ -269,13 +269,19 @@
     """Neither side uses a grant after its deadline, or twice."""
     taker = Taker(FACTS, 0.0)
     giver = Giver(taker.offer(0.0), 10.0)
-    taker.granted()
-    assert giver.grant_deadline - 10.0 <= taker.grant_deadline + 1e-9
-    assert not taker.use(GRANT_S) and not giver.use(10.0 + GRANT_S)
-    assert taker.use(0.01) and not taker.use(0.01)
-    assert giver.use(10.01) and not giver.use(10.01)
-    late = Offer(taker.offer(0.0).card, 0)
-    assert not Giver(late, 0.0).use(0.0)
+    # The way takes no time here; the giver's clock shows ten seconds more.
+    taker.granted(giver.granted(10.02))
+    assert taker.grant_deadline + 10.0 <= giver.grant_deadline + 1e-9
+    assert taker.grant_deadline == approx(0.02 + GRANT_S, abs=2e-6)
+    assert not taker.use(0.02 + GRANT_S) and not giver.use(10.02 + GRANT_S)
+    assert taker.use(0.03) and not taker.use(0.03)
+    assert giver.use(10.03) and not giver.use(10.03)
+
+
+def test_offer_waits_no_longer_than_asked():
+    """The giver keeps an offer only as long as its taker waits."""
+    offer = Offer(Taker(FACTS, 0.0).offer(0.0).card, 5000)
+    assert Giver(offer, 10.0).wait_deadline == 10.005
 
 
 REPEAT = replace(FACTS, key="k", attempt=2)
