Free a slot at the head of an answer where the route says so

Cause: streams that only wait for news held a slot of their target for their whole length, so other requests behind them were refused. Change: a route can say that its slot is free once the answer has begun; the caller library repeats refused streams; offers wait at a peer for a slot.

--- a/src/balsamtide/agent/execution.py
+++ b/src/balsamtide/agent/execution.py
@@ -4,10 +4,11 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from trio import CancelScope, current_time
+from trio import current_time
 
 from balsamtide.admission.policy import Decision, Refused, Start, Transfer
 from balsamtide.agent.dispatcher import Dispatcher
+from balsamtide.agent.slot_runner import SlotRunner
 from balsamtide.protocol.verdict import Verdict
 from balsamtide.requests.answer_recorder import AnswerRecorder
 from balsamtide.requests.exits import Exit
@@ -86,8 +87,8 @@
     ----------
     dispatcher : Dispatcher
         Owner of the admission policy.
-    runner : Runner
-        Runs requests on the own target.
+    runner : SlotRunner
+        Runs started requests on the own target.
     hand_off : HandOff
         Makes runners for peers.
     target_name : callable
@@ -98,7 +99,7 @@
         self,
         *,
         dispatcher: Dispatcher,
-        runner: Runner,
+        runner: SlotRunner,
         hand_off: HandOff,
         target_name: Callable[[int | None], str],
     ) -> None:
@@ -172,11 +173,10 @@
     async def _run_here(self, job: Job, stall_s: Callable[[], float]) -> Outcome:
         if job.keyed is not None and not job.keyed.start():
             outcome = Exit.TENURE_CLOSED.outcome()
+            self.dispatcher.finish(job.facts.request_id, outcome)
         else:
             outcome = await self._run(job, self.runner, Stage.TARGET, stall_s)
             job.ran_on = self.target_name(None)
-        with CancelScope(shield=True):
-            self.dispatcher.finish(job.facts.request_id, outcome)
         self._note(job, self.target_name(None), outcome)
         return outcome
 
--- a/src/balsamtide/agent/peer_host.py
+++ b/src/balsamtide/agent/peer_host.py
@@ -4,15 +4,16 @@
 
 from trio import current_time
 
+from balsamtide.admission.offer_desk import OfferDesk
 from balsamtide.agent.dispatcher import Dispatcher
 from balsamtide.agent.execution import Executor, Job
+from balsamtide.agent.slot_runner import SlotRunner
 from balsamtide.requests.answer_recorder import AnswerRecorder
-from balsamtide.requests.exits import Exit
 from balsamtide.requests.hand_off_host import HandOffHost
 from balsamtide.requests.home import Home, HomeDecision, RunHere
 from balsamtide.requests.ledger import LedgerImage
 from balsamtide.requests.model import Outcome, RequestFacts
-from balsamtide.requests.runner import AnswerWriter, RequestHead, Runner
+from balsamtide.requests.runner import AnswerWriter, RequestHead
 from balsamtide.requests.stamp import Stamp
 
 __all__ = ["PeerHost"]
@@ -45,8 +46,10 @@
     ----------
     dispatcher : Dispatcher
         Owner of the admission policy.
-    runner : Runner
-        Runs requests on the own target.
+    desk : OfferDesk
+        Where offers wait for a slot.
+    runner : SlotRunner
+        Runs started requests on the own target.
     executor : Executor
         Admits and runs repeats.
     home : Home
@@ -57,18 +60,24 @@
         self,
         *,
         dispatcher: Dispatcher,
-        runner: Runner,
+        desk: OfferDesk,
+        runner: SlotRunner,
         executor: Executor,
         home: Home,
     ) -> None:
         self.dispatcher = dispatcher
+        self.desk = desk
         self.runner = runner
         self.executor = executor
         self.home = home
 
-    def offer(self, facts: RequestFacts, grant_deadline: float) -> bool:
-        """Reserve a slot until ``grant_deadline``, if one is free."""
-        return self.dispatcher.policy.offer(facts, grant_deadline, current_time())
+    async def offer(
+        self, facts: RequestFacts, grant_deadline: float, wait_deadline: float
+    ) -> bool:
+        """Reserve a slot that is free now or before ``wait_deadline``."""
+        return await self.desk.offer(
+            facts, grant_deadline, wait_deadline, current_time()
+        )
 
     def use_grant(self, request_id: str) -> bool:
         """Turn the reservation into a start."""
@@ -86,12 +95,7 @@
         answer: AnswerWriter,
     ) -> Outcome:
         """Run a started request on the own target."""
-        outcome = Exit.CANCELLED_RUNNING.outcome()
-        try:
-            outcome = await self.runner.run(facts, head, body, answer)
-        finally:
-            self.dispatcher.finish(facts.request_id, outcome)
-        return outcome
+        return await self.runner.run(facts, head, body, answer)
 
     def decide_asked(self, facts: RequestFacts, stamp: Stamp) -> HomeDecision:
         """Decide about a peer's repeat."""
--- a/src/balsamtide/agent/work.py
+++ b/src/balsamtide/agent/work.py
@@ -16,6 +16,7 @@
     AdmissionIdentity,
     DeadlineAdmission,
 )
+from balsamtide.admission.offer_desk import OfferDesk
 from balsamtide.agent.dispatcher import Dispatcher
 from balsamtide.agent.events import AGENT_STOPPED, DRAIN_STARTED
 from balsamtide.agent.execution import Executor
@@ -32,6 +33,7 @@
 from balsamtide.agent.request_stream import RequestStream
 from balsamtide.agent.return_path import BalancerLeases
 from balsamtide.agent.service_view import ServiceView
+from balsamtide.agent.slot_runner import SlotRunner
 from balsamtide.agent.steering import PeerSteering
 from balsamtide.agent.succession import hand_over_ledgers
 from balsamtide.agent.target_client import TargetRunner
@@ -99,7 +101,8 @@
         self.extra_services = extra_services
         self.tenure = random.getrandbits(TENURE_BITS)
         self.policy = self._make_policy()
-        self.dispatcher = Dispatcher(self.policy, on_change=self._send_reports)
+        self.desk = OfferDesk(self.policy)
+        self.dispatcher = Dispatcher(self.policy, on_change=self._after_change)
         self.home = Home(
             view.service.number, Ledger(target=view.target.number, tenure=self.tenure)
         )
@@ -109,7 +112,10 @@
             ssl=client_context(settings.rpc_tls),
             on_reply=self._record_reply,
         )
-        self.runner = TargetRunner(Endpoint(view.target.host, view.target.port))
+        self.target = TargetRunner(Endpoint(view.target.host, view.target.port))
+        self.runner = SlotRunner(
+            self.target, dispatcher=self.dispatcher, service=lambda: view.service
+        )
         self.executor = Executor(
             dispatcher=self.dispatcher,
             runner=self.runner,
@@ -201,6 +207,10 @@
     def _is_ready(self, now: float) -> bool:
         return not self.policy.is_draining and not self.policy.health.is_ejected
 
+    def _after_change(self, now: float) -> None:
+        self.desk.wake()
+        self._send_reports(now)
+
     def _send_reports(self, now: float) -> None:
         self.node.send(self.policy.reports(now))
 
@@ -228,6 +238,7 @@
         """Run until cancelled, inside a trio-asyncio loop."""
         host = PeerHost(
             dispatcher=self.dispatcher,
+            desk=self.desk,
             runner=self.runner,
             executor=self.executor,
             home=self.home,
@@ -287,7 +298,7 @@
         )
         await self.flows.close_all()
         await sleep(CLOSE_S if cut else 0)
-        await self.runner.aclose()
+        await self.target.aclose()
         self._audit("ended")
         self.sink.event(AGENT_STOPPED, flows_cut=cut)
 
--- a/src/balsamtide/caller/answer.py
+++ b/src/balsamtide/caller/answer.py
@@ -6,7 +6,13 @@
 from balsamtide.caller.errors import StreamBrokenError
 from balsamtide.caller.flow import AnswerPart, AnswerStarted
 from balsamtide.caller.flow_task import PendingRequest
-from balsamtide.protocol.headers import REASON, REQUEST_ID, STAMP, VERDICT
+from balsamtide.protocol.headers import (
+    REASON,
+    REQUEST_ID,
+    RETRY_AFTER_MS,
+    STAMP,
+    VERDICT,
+)
 from balsamtide.protocol.verdict import Verdict
 from balsamtide.requests.runner import Header
 
@@ -80,6 +86,7 @@
         self.status = int(_field(started.headers, b":status"))
         self.verdict = _verdict(started.headers)
         self.stamp = _field(started.headers, STAMP)
+        self.retry_after_ms = _field(started.headers, RETRY_AFTER_MS)
 
     async def parts(self) -> AsyncIterator[bytes]:
         """Yield the body; raise if it does not arrive whole.
--- a/src/balsamtide/caller/caller.py
+++ b/src/balsamtide/caller/caller.py
@@ -205,10 +205,14 @@
             except CallerError as error:
                 if not self._may_repeat(call, error.verdict, attempt):
                     raise
-                await self._back_off(attempt, call.deadline, None)
+                await self._back_off(attempt, call.deadline, b"")
                 attempt += 1
                 continue
-            return flow, pending, answer
+            if not self._must_repeat(call, answer, attempt):
+                return flow, pending, answer
+            flow.cancel_request(pending)
+            await self._back_off(attempt, call.deadline, answer.retry_after_ms)
+            attempt += 1
 
     # Tries
 
@@ -228,17 +232,23 @@
                 failures.append(RequestError(error.verdict, error.reason))
                 if not self._may_repeat(call, error.verdict, attempt):
                     break
-                await self._back_off(attempt, call.deadline, None)
+                await self._back_off(attempt, call.deadline, b"")
                 continue
             if answer.status == STATUS_STAMP_REQUIRED and sent == 0:
                 self.stamps[id(flow)] = answer.header(STAMP)
                 continue
-            must_wait = answer.verdict is Verdict.NOT_RUN and answer.status >= 500
-            if not must_wait or not self._may_repeat(call, answer.verdict, attempt):
+            if not self._must_repeat(call, answer, attempt):
                 return answer
-            await self._back_off(attempt, call.deadline, answer)
+            said = answer.header(RETRY_AFTER_MS)
+            await self._back_off(attempt, call.deadline, said)
         raise AttemptsFailed(f"{call.method} {call.path} failed", failures)
 
+    def _must_repeat(
+        self, call: Call, answer: Answer | StreamedAnswer, attempt: int
+    ) -> bool:
+        is_refused = answer.verdict is Verdict.NOT_RUN and answer.status >= 500
+        return is_refused and self._may_repeat(call, answer.verdict, attempt)
+
     def _may_repeat(self, call: Call, verdict: Verdict, attempt: int) -> bool:
         # A keyed repeat is safe after any verdict: its home runs it at most once.
         is_safe = verdict.is_retry_safe(is_idempotent=call.is_idempotent)
@@ -249,10 +259,7 @@
             verdict, is_idempotent=True, now=current_time(), deadline=call.deadline
         )
 
-    async def _back_off(
-        self, attempt: int, deadline: float, answer: Answer | None
-    ) -> None:
-        said = answer.header(RETRY_AFTER_MS) if answer is not None else b""
+    async def _back_off(self, attempt: int, deadline: float, said: bytes) -> None:
         least = int(said) / 1000 if said.isdigit() else 0.0
         longest = min(LONGEST_BACKOFF_S, FIRST_BACKOFF_S * 2**attempt)
         pause = least + self.random.uniform(0, longest)
