--- /dev/null
+++ b/src/balsamtide/agent/target_client.py
@@ -0,0 +1,255 @@
+"""HTTP/1.1 towards the target, with the verdict that is true of each failure."""
+
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+from math import inf
+
+from h11 import (
+    CLIENT,
+    DONE,
+    NEED_DATA,
+    PAUSED,
+    Connection,
+    ConnectionClosed,
+    Data,
+    EndOfMessage,
+    InformationalResponse,
+    ProtocolError,
+    Request,
+    Response,
+)
+from trio import (
+    BrokenResourceError,
+    CancelScope,
+    ClosedResourceError,
+    SocketStream,
+    TooSlowError,
+    current_time,
+    fail_after,
+    fail_at,
+    open_nursery,
+    open_tcp_stream,
+)
+
+from balsamtide.protocol.headers import DEADLINE_MS, REQUEST_ID
+from balsamtide.protocol.messages import Endpoint
+from balsamtide.requests.exits import Exit
+from balsamtide.requests.model import Outcome, RequestFacts
+from balsamtide.requests.runner import AnswerWriter, Header, RequestHead, Runner
+from balsamtide.requests.target_answers import classify_answer
+
+__all__ = ["TargetRunner"]
+
+READ_BYTES = 64 * 1024
+CONNECT_TIMEOUT_S = 1.0
+IDLE_CONNECTION_S = 4.0
+IDLE_CONNECTIONS = 16
+HOP_HEADERS = frozenset(
+    (b"connection", b"keep-alive", b"transfer-encoding", b"te", b"upgrade", b"trailer")
+)
+METHODS_WITH_BODY = ("POST", "PUT", "PATCH")
+STREAM_ERRORS = (BrokenResourceError, ClosedResourceError, OSError)
+
+
+@dataclass(slots=True)
+class TargetConnection:
+    """One TCP connection to the target."""
+
+    stream: SocketStream
+    http: Connection
+    idle_deadline: float = 0.0
+
+
+@dataclass(slots=True)
+class Progress:
+    """How far one request got; it decides the verdict of a failure."""
+
+    started_at: float
+    scope: CancelScope = field(default_factory=CancelScope)
+    is_connected: bool = False
+    is_sent: bool = False
+    status: int = 0
+    is_answered: bool = False
+    head_exit: Exit = Exit.ANSWERED
+
+    def failure(self, *, is_timeout: bool = False) -> Exit:
+        """Return how the request ends if its connection fails now."""
+        if self.is_answered:
+            return Exit.ANSWER_CUT
+        if self.is_sent:
+            return Exit.TARGET_TIMEOUT if is_timeout else Exit.REQUEST_CUT
+        if self.is_connected:
+            return Exit.REQUEST_NOT_SENT
+        return Exit.CONNECT_TIMEOUT if is_timeout else Exit.CONNECT_REFUSED
+
+
+class TargetRunner(Runner):
+    """Runs requests on one target over keep-alive connections.
+
+    A request is only ever written to a connection that was just opened or is known
+    to be open, and it is never written twice.
+
+    Parameters
+    ----------
+    target : Endpoint
+        TCP endpoint of the target.
+    """
+
+    def __init__(self, target: Endpoint) -> None:
+        self.target = target
+        self.idle: list[TargetConnection] = []
+
+    async def run(
+        self,
+        facts: RequestFacts,
+        head: RequestHead,
+        body: AsyncIterator[bytes],
+        answer: AnswerWriter,
+    ) -> Outcome:
+        """Run one request on the target."""
+        progress = Progress(started_at=current_time())
+        try:
+            with fail_at(facts.deadline):
+                connection = await self._connect()
+                progress.is_connected = True
+                return await self._run_on(
+                    connection, facts, head, body, answer, progress
+                )
+        except TooSlowError:
+            return self._end(progress, progress.failure(is_timeout=True))
+        except (*STREAM_ERRORS, ProtocolError):
+            return self._end(progress, progress.failure())
+
+    @staticmethod
+    def _end(progress: Progress, end: Exit) -> Outcome:
+        return end.outcome(
+            status=progress.status or None,
+            service_time_s=current_time() - progress.started_at,
+        )
+
+    async def _connect(self) -> TargetConnection:
+        now = current_time()
+        while self.idle:
+            connection = self.idle.pop()
+            if connection.idle_deadline > now and _is_open(connection.stream):
+                return connection
+            await connection.stream.aclose()
+        with fail_after(CONNECT_TIMEOUT_S):
+            stream = await open_tcp_stream(self.target.host, self.target.port)
+        return TargetConnection(stream, Connection(our_role=CLIENT))
+
+    async def _run_on(
+        self,
+        connection: TargetConnection,
+        facts: RequestFacts,
+        head: RequestHead,
+        body: AsyncIterator[bytes],
+        answer: AnswerWriter,
+        progress: Progress,
+    ) -> Outcome:
+        is_reusable = False
+        try:
+            async with open_nursery() as nursery:
+                nursery.start_soon(self._send, connection, facts, head, body, progress)
+                await self._receive(connection, answer, progress)
+                nursery.cancel_scope.cancel()
+            is_reusable = await self._release(connection)
+        except* STREAM_ERRORS as errors:
+            raise errors.exceptions[0] from None
+        except* ProtocolError as errors:
+            raise errors.exceptions[0] from None
+        finally:
+            if not is_reusable:
+                await connection.stream.aclose()
+        return self._end(progress, progress.head_exit)
+
+    async def _send(
+        self,
+        connection: TargetConnection,
+        facts: RequestFacts,
+        head: RequestHead,
+        body: AsyncIterator[bytes],
+        progress: Progress,
+    ) -> None:
+        http = connection.http
+        request = Request(
+            method=head.method,
+            target=head.path,
+            headers=_request_headers(head.headers, self.target, facts),
+        )
+        octets = http.send(request)
+        progress.is_sent = True
+        await connection.stream.send_all(octets or b"")
+        async for chunk in body:
+            await connection.stream.send_all(http.send(Data(data=chunk)) or b"")
+        await connection.stream.send_all(http.send(EndOfMessage()) or b"")
+
+    async def _receive(
+        self, connection: TargetConnection, answer: AnswerWriter, progress: Progress
+    ) -> None:
+        while True:
+            event = connection.http.next_event()
+            if event is NEED_DATA:
+                octets = await connection.stream.receive_some(READ_BYTES)
+                connection.http.receive_data(octets)
+            elif isinstance(event, InformationalResponse):
+                continue
+            elif isinstance(event, Response):
+                progress.status = event.status_code
+                headers = _answer_headers(event)
+                progress.head_exit = classify_answer(event.status_code, headers)
+                if progress.head_exit is Exit.TARGET_SHED:
+                    return
+                progress.is_answered = True
+                # The deadline is for the start of the answer; a stream may last.
+                progress.scope.deadline = inf
+                await answer.start(event.status_code, headers)
+            elif isinstance(event, Data):
+                await answer.write(bytes(event.data))
+            elif isinstance(event, EndOfMessage | ConnectionClosed) or event is PAUSED:
+                return
+
+    async def _release(self, connection: TargetConnection) -> bool:
+        http = connection.http
+        if http.our_state is not DONE or http.their_state is not DONE:
+            return False
+        if len(self.idle) >= IDLE_CONNECTIONS:
+            return False
+        http.start_next_cycle()
+        connection.idle_deadline = current_time() + IDLE_CONNECTION_S
+        self.idle.append(connection)
+        return True
+
+    async def aclose(self) -> None:
+        """Close idle connections."""
+        while self.idle:
+            await self.idle.pop().stream.aclose()
+
+
+def _is_open(stream: SocketStream) -> bool:
+    """Tell whether the target has neither closed the connection nor sent anything."""
+    return not stream.socket.is_readable()
+
+
+def _request_headers(
+    headers: tuple[Header, ...], target: Endpoint, facts: RequestFacts
+) -> list[Header]:
+    kept = [
+        (name, value)
+        for name, value in headers
+        if name not in HOP_HEADERS and not name.startswith(b":") and name != b"host"
+    ]
+    kept.append((b"host", f"{target.host}:{target.port}".encode()))
+    remaining_ms = max(0, int((facts.deadline - current_time()) * 1000))
+    kept.append((REQUEST_ID, facts.request_id.encode()))
+    kept.append((DEADLINE_MS, str(remaining_ms).encode()))
+    has_length = any(name == b"content-length" for name, _ in kept)
+    if facts.method in METHODS_WITH_BODY and not has_length:
+        kept.append((b"transfer-encoding", b"chunked"))
+    return kept
+
+
+def _answer_headers(response: Response) -> tuple[Header, ...]:
+    return tuple(
+        (name, value) for name, value in response.headers if name not in HOP_HEADERS
+    )
--- a/src/balsamtide/telemetry/logging.py
+++ b/src/balsamtide/telemetry/logging.py
@@ -1,7 +1,8 @@
 """The log: numbered events as JSON lines or text, with repeats rate-limited."""
 
 from collections import deque
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
+from contextlib import suppress
 from dataclasses import dataclass
 from datetime import UTC, datetime
 from itertools import count
@@ -20,6 +21,7 @@
 WINDOW_S = 10.0
 RECENT_EVENTS = 512
 MAX_VALUE_CHARACTERS = 200
+DEFAULT_HANDLER = 0
 
 FieldValue = str | int | float | bool | None
 handler_numbers = count(1)
@@ -67,6 +69,9 @@
 class EventLog:
     """Writes events to a stream through loguru.
 
+    Loguru's own handler, which would write every line to standard error as well, is
+    removed.
+
     Parameters
     ----------
     stream : text stream
@@ -100,6 +105,8 @@
         self.recent: deque[LoggedEvent] = deque(maxlen=RECENT_EVENTS)
         self.windows: dict[int, Window] = {}
         self.reported_fields: set[tuple[int, str]] = set()
+        with suppress(ValueError):
+            logger.remove(DEFAULT_HANDLER)
         name = f"balsamtide-{next(handler_numbers)}"
         self.logger = logger.bind(handler=name)
         self.handler = logger.add(
@@ -111,7 +118,8 @@
         )
 
     def close(self) -> None:
-        """Stop writing to the stream."""
+        """Log the counts of all repeats and stop writing to the stream."""
+        self._end_windows(list(self.windows))
         logger.remove(self.handler)
 
     def write(self, event: Event, fields: dict[str, Any]) -> None:
@@ -126,8 +134,12 @@
     def flush(self) -> None:
         """Log the counts of repeats whose window is over."""
         now = self.clock()
-        ended = [n for n, window in self.windows.items() if window.deadline <= now]
-        for number in ended:
+        self._end_windows(
+            [n for n, window in self.windows.items() if window.deadline <= now]
+        )
+
+    def _end_windows(self, numbers: Iterable[int]) -> None:
+        for number in numbers:
             window = self.windows.pop(number)
             if window.suppressed:
                 self._emit_repeats(number, window.suppressed)
