Weigh time lost against the usual mean, and by today's mix of routes

'slow' said 6 ms for a target three times as slow: lost time was counted from the threshold, and a few exports more or less hid the rest. It is now counted from the usual mean, over the groups that got slower; stage means before are weighted by the recent mix of routes. Faults take a strength, for the slopes. The package node shares the event numbers from 100.

--- a/bench/standins/request_records.py
+++ b/bench/standins/request_records.py
@@ -6,8 +6,9 @@
 """
 
 from abc import ABC, abstractmethod
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
+from itertools import count
 from random import Random
 
 from msgspec.msgpack import decode, encode
@@ -19,7 +20,17 @@
 from balsamtide.telemetry.stages import Stage
 from balsamtide.telemetry.summary import Summary, merge
 
-__all__ = ["FAULTS", "Draft", "Fault", "Traffic", "make_fault", "summarise"]
+__all__ = [
+    "FAULTS",
+    "SERVICE",
+    "Draft",
+    "Fault",
+    "Traffic",
+    "make_fault",
+    "merge_logs",
+    "record_traffic",
+    "summarise",
+]
 
 MINUTES = 20
 FAULT_MINUTES = 2
@@ -32,6 +43,7 @@
 TARGET_MEDIANS_S = {"/day": 0.008, "/marks": 0.015, EXPORT: 4.0}
 TARGET_SIGMAS = {"/day": 0.4, "/marks": 0.4, EXPORT: 0.8}
 VERSION = 7
+ID_STEP = 0x9E3779B97F4A7C15
 
 
 def zone_of(target: str) -> str:
@@ -67,12 +79,15 @@
     ----------
     random : Random
         Source of chance.
+    strength : float
+        Scales how often or how much requests are slowed down.
     """
 
     kind: CauseKind
 
-    def __init__(self, random: Random) -> None:
+    def __init__(self, random: Random, strength: float) -> None:
         self.random = random
+        self.strength = strength
         self.scope = Scope(ScopeKind.SERVICE)
 
     @abstractmethod
@@ -105,15 +120,15 @@
 
     kind = CauseKind.SLOW_TARGET
 
-    def __init__(self, random: Random) -> None:
-        super().__init__(random)
+    def __init__(self, random: Random, strength: float) -> None:
+        super().__init__(random, strength)
         self.target = self.choose_target()
 
     def change(self, draft: Draft) -> None:
         """Slow down the target."""
         if draft.target == self.target:
-            draft.stages[Stage.TARGET] *= 3
-            if self.happens(0.5):
+            draft.stages[Stage.TARGET] *= 1 + 2 * self.strength
+            if self.happens(0.5 * self.strength):
                 draft.add(Stage.QUEUED_SHORT, self.wait(0.02))
 
 
@@ -122,13 +137,13 @@
 
     kind = CauseKind.LOSSY_PATH
 
-    def __init__(self, random: Random) -> None:
-        super().__init__(random)
+    def __init__(self, random: Random, strength: float) -> None:
+        super().__init__(random, strength)
         self.zone = self.choose_zone() if self.happens(0.5) else ""
 
     def change(self, draft: Draft) -> None:
         """Stall some answers by loss."""
-        if self.zone in ("", draft.zone) and self.happens(0.15):
+        if self.zone in ("", draft.zone) and self.happens(0.15 * self.strength):
             draft.add(Stage.LOSS_STALL, self.wait(0.25, 0.1))
             draft.add(Stage.RETURN_PATH, self.wait(0.01))
 
@@ -138,15 +153,15 @@
 
     kind = CauseKind.FAR_ZONE
 
-    def __init__(self, random: Random) -> None:
-        super().__init__(random)
+    def __init__(self, random: Random, strength: float) -> None:
+        super().__init__(random, strength)
         self.zone = self.choose_zone()
 
     def change(self, draft: Draft) -> None:
         """Lengthen both ways."""
         if draft.zone == self.zone:
-            draft.add(Stage.INNER_PATH, 0.015)
-            draft.add(Stage.RETURN_PATH, 0.015)
+            draft.add(Stage.INNER_PATH, 0.015 * self.strength)
+            draft.add(Stage.RETURN_PATH, 0.015 * self.strength)
 
 
 class LongQueue(Fault):
@@ -156,9 +171,9 @@
 
     def change(self, draft: Draft) -> None:
         """Queue some of the short requests."""
-        if draft.route != EXPORT and self.happens(0.2):
+        if draft.route != EXPORT and self.happens(0.2 * self.strength):
             draft.add(Stage.QUEUED_LONG, self.wait(1.5))
-        elif self.happens(0.3):
+        elif self.happens(0.3 * self.strength):
             draft.add(Stage.QUEUED_SHORT, self.wait(0.8))
 
 
@@ -167,15 +182,15 @@
 
     kind = CauseKind.COLD_START
 
-    def __init__(self, random: Random) -> None:
-        super().__init__(random)
+    def __init__(self, random: Random, strength: float) -> None:
+        super().__init__(random, strength)
         self.target = self.choose_target()
 
     def change(self, draft: Draft) -> None:
         """Wait for the target to warm up."""
         if draft.target == self.target:
-            draft.stages[Stage.TARGET] *= 1.5
-            if self.happens(0.4):
+            draft.stages[Stage.TARGET] *= 1 + 0.5 * self.strength
+            if self.happens(0.4 * self.strength):
                 draft.add(Stage.QUEUED_COLD, self.wait(0.8))
 
 
@@ -184,13 +199,13 @@
 
     kind = CauseKind.STALE_VERSION
 
-    def __init__(self, random: Random) -> None:
-        super().__init__(random)
+    def __init__(self, random: Random, strength: float) -> None:
+        super().__init__(random, strength)
         self.scope = Scope(ScopeKind.BALANCER_VERSION, (str(VERSION - 1),))
 
     def change(self, draft: Draft) -> None:
         """Steer flows on that a stale balancer sent to the wrong target."""
-        if self.happens(0.2):
+        if self.happens(0.2 * self.strength):
             draft.balancer_version = VERSION - 1
             draft.add(Stage.STEERED, self.wait(0.02, 0.005))
             draft.add(Stage.HANDSHAKE, self.wait(0.01))
@@ -201,8 +216,8 @@
 
     kind = CauseKind.STALE_VERSION
 
-    def __init__(self, random: Random) -> None:
-        super().__init__(random)
+    def __init__(self, random: Random, strength: float) -> None:
+        super().__init__(random, strength)
         self.targets = tuple(random.sample(TARGETS, 2))
         self.scope = Scope(ScopeKind.VERSION, (str(VERSION - 1),))
 
@@ -210,7 +225,7 @@
         """Hand requests over to targets that are leaving."""
         if draft.target in self.targets:
             draft.version = VERSION - 1
-            if self.happens(0.5):
+            if self.happens(0.5 * self.strength):
                 draft.add(Stage.HAND_OFF, self.wait(0.2))
 
 
@@ -221,7 +236,7 @@
 
     def change(self, draft: Draft) -> None:
         """Wait for the silence to be noticed."""
-        if self.happens(0.03):
+        if self.happens(0.03 * self.strength):
             draft.add(Stage.TARGET, 3.0)
             draft.attempts = (
                 f"{draft.target} may-have-run silent",
@@ -236,7 +251,7 @@
 
     def change(self, draft: Draft) -> None:
         """Stall some answers by the caller."""
-        if self.happens(0.05):
+        if self.happens(0.05 * self.strength):
             draft.add(Stage.CALLER_STALL, self.wait(2.0, 0.5))
 
 
@@ -253,9 +268,9 @@
 }
 
 
-def make_fault(name: str, seed: int) -> Fault:
+def make_fault(name: str, seed: int, *, strength: float = 1.0) -> Fault:
     """Return the fault called ``name``, drawn by ``seed``."""
-    return FAULTS[name](Random(f"{name} {seed}"))
+    return FAULTS[name](Random(f"{name} {seed}"), strength)
 
 
 class Traffic:
@@ -321,10 +336,11 @@
             draft.add(stage, self.random.expovariate(1 / mean_s))
 
 
-def summarise(seed: int, fault: Fault | None = None) -> Summary:
-    """Return the merged summary of all agents after twenty minutes."""
+def record_traffic(seed: int, fault: Fault | None = None) -> dict[str, RequestLog]:
+    """Return the logs of all agents after twenty minutes, by instance."""
     now = 0.0
     logs = {name: RequestLog(instance=name, clock=lambda: now) for name in TARGETS}
+    numbers = count(1)
     traffic = Traffic(seed)
     for minute in range(MINUTES):
         now = minute * MINUTE_S
@@ -332,14 +348,24 @@
         for draft in traffic.minute():
             if fault is not None and is_faulty:
                 fault.change(draft)
-            logs[draft.target].add(_finish(draft))
+            logs[draft.target].add(_finish(draft, next(numbers)))
+    return logs
+
+
+def summarise(seed: int, fault: Fault | None = None) -> Summary:
+    """Return the merged summary of all agents after twenty minutes."""
+    return merge_logs(record_traffic(seed, fault))
+
+
+def merge_logs(logs: Mapping[str, RequestLog]) -> Summary:
+    """Return the merged summary of all agents, passed through MessagePack."""
     summaries = [encode(log.summary(SERVICE)) for log in logs.values()]
     return merge([decode(octets, type=Summary) for octets in summaries])
 
 
-def _finish(draft: Draft) -> RequestRecord:
+def _finish(draft: Draft, number: int) -> RequestRecord:
     return RequestRecord(
-        request_id="r",
+        request_id=f"{number * ID_STEP % 2**64:016x}",
         service=SERVICE,
         route=draft.route,
         target=draft.target,
--- a/src/balsamtide/cli/request_commands.py
+++ b/src/balsamtide/cli/request_commands.py
@@ -17,6 +17,7 @@
 from balsamtide.cli.errors import CommandError, ExitCode
 from balsamtide.cli.html_page import render_page
 from balsamtide.cli.slow_report import SlowReport, make_report
+from balsamtide.telemetry.cells import STAGES
 from balsamtide.telemetry.summary import RequestView, Summary
 
 __all__ = ["ExplainCommand", "SlowCommand"]
@@ -63,7 +64,8 @@
                     f"{_share(seconds, view.total_s):.0%}",
                     "#" * round(BAR_CHARACTERS * _share(seconds, view.total_s)),
                 )
-                for stage, seconds in view.stages.items()
+                for stage in STAGES
+                if (seconds := view.stages.get(stage)) is not None
             ],
         )
         for number, attempt in enumerate(view.attempts, 1):
@@ -130,8 +132,9 @@
 
     def _print_report(self, report: SlowReport) -> None:
         self.print_line(f"{report.service}: {report.answer}")
-        for finding in report.findings:
-            self.print_line(f"  - {finding.sentence}")
+        for number, finding in enumerate(report.findings):
+            if number:
+                self.print_line(f"  also: {finding.sentence}")
             self.print_line(f"    {finding.action}")
         if report.silent:
             self.print_line(f"  did not answer: {', '.join(report.silent)}")
--- a/src/balsamtide/cli/slow_report.py
+++ b/src/balsamtide/cli/slow_report.py
@@ -53,7 +53,11 @@
 
 
 class StageTime(Struct, frozen=True):
-    """Mean time of a request in one stage, seconds."""
+    """Mean time of a request in one stage, seconds.
+
+    The baseline is weighted by the recent mix of routes, so that more long requests
+    do not look like slower ones.
+    """
 
     stage: Stage
     recent_s: float
@@ -136,8 +140,9 @@
 
 
 def _stage_times(summary: Summary) -> tuple[StageTime, ...]:
-    recent = _means(summary.recent)
-    baseline = _means(summary.baseline)
+    mix = _requests_by_route(summary.recent)
+    recent = _means(summary.recent, mix)
+    baseline = _means(summary.baseline, mix)
     return tuple(
         StageTime(stage, recent.get(stage, 0.0), baseline.get(stage, 0.0))
         for stage in STAGES
@@ -145,14 +150,28 @@
     )
 
 
-def _means(groups: Iterable[GroupSummary]) -> dict[Stage, float]:
-    count = 0
-    seconds: dict[Stage, float] = {}
+def _requests_by_route(groups: Iterable[GroupSummary]) -> dict[str, int]:
+    requests: dict[str, int] = {}
+    for group in groups:
+        route = group.key.route
+        requests[route] = requests.get(route, 0) + group.count
+    return requests
+
+
+def _means(groups: tuple[GroupSummary, ...], mix: dict[str, int]) -> dict[Stage, float]:
+    """Return mean times by stage as they would be with the routes mixed as in mix."""
+    counts = _requests_by_route(groups)
+    all_requests = sum(mix[route] for route in mix if route in counts)
+    means: dict[Stage, float] = {}
     for group in groups:
-        count += group.count
+        route = group.key.route
+        if route not in mix:
+            continue
+        weight = mix[route] / (counts[route] * all_requests)
         for cells in group.stages:
-            seconds[cells.stage] = seconds.get(cells.stage, 0.0) + cells.seconds
-    return {stage: total / count for stage, total in seconds.items()}
+            seconds = cells.seconds * weight
+            means[cells.stage] = means.get(cells.stage, 0.0) + seconds
+    return means
 
 
 def _route_times(summary: Summary) -> Iterable[RouteTimes]:
--- a/src/balsamtide/telemetry/baseline.py
+++ b/src/balsamtide/telemetry/baseline.py
@@ -72,6 +72,11 @@
         seconds = sum(cells.seconds for cells in self.group.stages.values())
         return seconds / self.group.count
 
+    def stage_mean_s(self, stage: Stage) -> float:
+        """Return the mean time in ``stage``, seconds."""
+        cells = self.group.stages.get(stage)
+        return cells.seconds / self.group.count if cells else 0.0
+
     def stage_counts(self, stage: Stage) -> Sequence[int]:
         """Return the bucket counts of ``stage``."""
         cells = self.group.stages.get(stage)
@@ -92,7 +97,7 @@
     def excess(self, recent: GroupSummary, stage: Stage) -> Excess:
         """Compare ``recent`` with this reference in one stage."""
         first = self.slow_bucket(stage)
-        base = lower_bound_s(first) / SLOW_RATIO
+        usual_s = self.stage_mean_s(stage)
         before = [(bucket, n) for bucket, n in enumerate(self.stage_counts(stage))]
         now = [
             (item.bucket, item.count)
@@ -103,7 +108,8 @@
         size = self.group.count
         share = (_slow_count(before, first) + 0.5) / (size + 1)
         scale = recent.count / size
-        seconds = _lost_s(now, first, base) - scale * _lost_s(before, first, base)
+        seconds = _lost_s(now, first, usual_s)
+        seconds -= scale * _lost_s(before, first, usual_s)
         return Excess(
             count=_slow_count(now, first) - recent.count * share,
             variance=recent.count * share * (1 + scale),
@@ -148,9 +154,9 @@
     return sum(number for bucket, number in counts if bucket >= first)
 
 
-def _lost_s(counts: Iterable[tuple[int, int]], first: int, base: float) -> float:
+def _lost_s(counts: Iterable[tuple[int, int]], first: int, usual_s: float) -> float:
     return sum(
-        number * (lower_bound_s(bucket) - base)
+        number * (lower_bound_s(bucket) - usual_s)
         for bucket, number in counts
         if bucket >= first
     )
--- a/src/balsamtide/telemetry/catalogue.py
+++ b/src/balsamtide/telemetry/catalogue.py
@@ -15,7 +15,7 @@
 
 NUMBER_RANGES = {
     "settings": range(100, 200),
-    "daemon": range(100, 200),
+    "node": range(100, 200),
     "config": range(200, 300),
     "membership": range(300, 400),
     "balancer": range(400, 500),
--- a/src/balsamtide/telemetry/cause.py
+++ b/src/balsamtide/telemetry/cause.py
@@ -161,7 +161,7 @@
             stage=stage,
             scope=scope,
             share=min(1.0, excess.count / self.requests),
-            lost_s=excess.seconds / excess.count,
+            lost_s=_lost_each_s(inside),
             reason=reason,
         )
         return StageFinding(finding=finding, slowdown=excess.slowdown)
@@ -223,6 +223,11 @@
                 )
 
 
+def _lost_each_s(rows: Iterable[Row]) -> float:
+    slower = Excess.total(row.excess for row in rows if row.excess.count > 0)
+    return max(0.0, slower.seconds / slower.count)
+
+
 def _is_found(excess: Excess) -> bool:
     return (
         excess.deviations >= MIN_DEVIATIONS
