--- a/bench/standins/request_records.py
+++ b/bench/standins/request_records.py
@@ -239,7 +239,7 @@
         if self.happens(0.03 * self.strength):
             draft.add(Stage.TARGET, 3.0)
             draft.attempts = (
-                f"{draft.target} may-have-run silent",
+                f"{draft.target} may-have-run target-timeout",
                 f"{draft.target} ran ",
             )
 
--- a/src/balsamtide/telemetry/baseline.py
+++ b/src/balsamtide/telemetry/baseline.py
@@ -7,12 +7,12 @@
 from balsamtide.telemetry.stages import Stage
 from balsamtide.telemetry.summary import Group, GroupSummary
 
-__all__ = ["Baseline", "Excess"]
+__all__ = ["USUAL_SLOW_SHARES", "Baseline", "Excess"]
 
 MIN_TARGET_REQUESTS = 100
 MIN_ROUTE_REQUESTS = 30
 MIN_SLOW_S = 0.002
-USUAL_SLOW_SHARE = 0.01
+USUAL_SLOW_SHARES = (0.001, 0.01, 0.1, 0.3)
 SLOW_RATIO = 1.25
 MIN_MEAN_S = 0.001
 
@@ -82,10 +82,10 @@
         cells = self.group.stages.get(stage)
         return cells.counts if cells else (0,) * BUCKETS
 
-    def slow_bucket(self, stage: Stage) -> int:
-        """Return the first bucket that is unusual for ``stage``."""
+    def slow_bucket(self, stage: Stage, usual_share: float) -> int:
+        """Return the first bucket that at most ``usual_share`` of requests reach."""
         counts = self.stage_counts(stage)
-        allowed = USUAL_SLOW_SHARE * self.group.count
+        allowed = usual_share * self.group.count
         above = 0
         bucket = BUCKETS - 1
         while bucket > 0 and above + counts[bucket] <= allowed:
@@ -94,9 +94,13 @@
         usual_s = lower_bound_s(bucket) * SLOW_RATIO
         return min(bucket_of(max(usual_s, MIN_SLOW_S)) + 1, BUCKETS - 1)
 
-    def excess(self, recent: GroupSummary, stage: Stage) -> Excess:
-        """Compare ``recent`` with this reference in one stage."""
-        first = self.slow_bucket(stage)
+    def excess(self, recent: GroupSummary, stage: Stage, usual_share: float) -> Excess:
+        """Compare ``recent`` with this reference in one stage.
+
+        Requests count as slow from a duration that ``usual_share`` of the earlier
+        ones reached.
+        """
+        first = self.slow_bucket(stage, usual_share)
         usual_s = self.stage_mean_s(stage)
         before = [(bucket, n) for bucket, n in enumerate(self.stage_counts(stage))]
         now = [
--- a/src/balsamtide/telemetry/cause.py
+++ b/src/balsamtide/telemetry/cause.py
@@ -2,14 +2,16 @@
 
 Every group of recent requests is compared, stage by stage, with the requests of the
 same route some minutes before, on the same target where there were enough.  A stage
-is found if clearly more of its requests are slow and the time lost is material.  It
-is then narrowed down to the targets, zone or version that hold the excess.
+is found if clearly more of its requests are slow and the time lost is material.  What
+counts as slow is tried at several shares of the earlier requests: a high one shows
+that all requests got slower, a low one that a few stopped.  The stage is then narrowed
+down to the targets, zone or version that hold the excess.
 """
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
-from balsamtide.telemetry.baseline import Baseline, Excess
+from balsamtide.telemetry.baseline import USUAL_SLOW_SHARES, Baseline, Excess
 from balsamtide.telemetry.diagnosis import (
     CauseKind,
     Diagnosis,
@@ -20,7 +22,7 @@
 from balsamtide.telemetry.stages import Stage
 from balsamtide.telemetry.summary import GroupKey, GroupSummary, Summary
 
-__all__ = ["CauseAnalysis", "diagnose"]
+__all__ = ["SILENT_REASONS", "CauseAnalysis", "diagnose"]
 
 MIN_REQUESTS = 30
 MIN_DEVIATIONS = 6.0
@@ -31,7 +33,7 @@
 SCOPE_DEVIATIONS = 4.0
 SILENT_SHARE = 0.4
 CONSEQUENCE_SHARE = 0.1
-SILENT_WORD = "silent"
+SILENT_REASONS = frozenset(("connect-timeout", "peer-silent", "target-timeout"))
 TIE_ORDER = (
     ScopeKind.TARGET,
     ScopeKind.BALANCER_VERSION,
@@ -96,6 +98,7 @@
 
     finding: Finding
     slowdown: float
+    deviations: float
 
 
 def diagnose(summary: Summary) -> Diagnosis:
@@ -140,16 +143,24 @@
         failures = [f for f in self._failures() if f.reason not in reasons]
         return (*ranked, *failures)
 
-    def _rows(self, stage: Stage) -> list[Row]:
+    def _rows(self, stage: Stage, usual_share: float) -> list[Row]:
         rows = []
         for group in self.summary.recent:
             reference = self.baseline.reference(group)
             if reference is not None:
-                rows.append(Row(group, reference.excess(group, stage)))
+                rows.append(Row(group, reference.excess(group, stage, usual_share)))
         return rows
 
     def _look_at(self, stage: Stage) -> StageFinding | None:
-        rows = self._rows(stage)
+        found = [
+            finding
+            for share in USUAL_SLOW_SHARES
+            if (finding := self._compare(stage, share)) is not None
+        ]
+        return max(found, key=lambda item: item.deviations, default=None)
+
+    def _compare(self, stage: Stage, usual_share: float) -> StageFinding | None:
+        rows = self._rows(stage, usual_share)
         scope = self._narrow(rows)
         inside = [row for row in rows if _is_in(scope, row.group.key)]
         excess = Excess.total(row.excess for row in inside)
@@ -164,7 +175,9 @@
             lost_s=_lost_each_s(inside),
             reason=reason,
         )
-        return StageFinding(finding=finding, slowdown=excess.slowdown)
+        return StageFinding(
+            finding=finding, slowdown=excess.slowdown, deviations=excess.deviations
+        )
 
     def _narrow(self, rows: list[Row]) -> Scope:
         candidates = [
@@ -196,7 +209,7 @@
 
     def _silent_reason(self, rows: Iterable[Row], excess: Excess) -> str:
         counts = _reason_counts(row.group for row in rows)
-        silent = {r: n for r, n in counts.items() if SILENT_WORD in r}
+        silent = {r: n for r, n in counts.items() if r in SILENT_REASONS}
         if sum(silent.values()) < SILENT_SHARE * excess.count:
             return ""
         return max(silent, key=lambda reason: silent[reason])
--- a/src/balsamtide/telemetry/request_log.py
+++ b/src/balsamtide/telemetry/request_log.py
@@ -266,10 +266,12 @@
 
 
 def _failed_attempts(record: RequestRecord) -> Iterator[str]:
+    """Yield the reasons of attempts that did not run, or of all if the last failed."""
+    is_failed = record.status >= FIRST_FAILURE_STATUS
     for attempt in record.attempts[:MAX_ATTEMPTS]:
-        parts = attempt.split(" ", 2)
-        if len(parts) == 3 and parts[2]:
-            yield parts[2]
+        _, verdict, reason = ([*attempt.split(" ", 2), "", ""])[:3]
+        if reason and (is_failed or verdict != Verdict.RAN.value):
+            yield reason
 
 
 def _join(minutes: list[Minute]) -> dict[GroupKey, Group]:
--- a/tests/test_telemetry_requests.py
+++ b/tests/test_telemetry_requests.py
@@ -8,7 +8,8 @@
 from msgspec.msgpack import decode, encode
 
 from balsamtide.protocol.verdict import Verdict
-from balsamtide.telemetry.cause import diagnose
+from balsamtide.requests.exits import Exit
+from balsamtide.telemetry.cause import SILENT_REASONS, diagnose
 from balsamtide.telemetry.cells import BUCKETS, bucket_of, lower_bound_s
 from balsamtide.telemetry.diagnosis import CauseKind
 from balsamtide.telemetry.request_log import (
@@ -229,3 +230,9 @@
         )
     finding = diagnose(log.summary(SERVICE)).findings[0]
     assert (finding.kind, finding.reason) == (CauseKind.FAILURES, "queue-full")
+
+
+def test_silent_reasons_are_those_of_requests() -> None:
+    """The reasons that mean silence are reasons that requests end with."""
+    exits = (Exit.CONNECT_TIMEOUT, Exit.PEER_SILENT, Exit.TARGET_TIMEOUT)
+    assert {end.reason for end in exits} == SILENT_REASONS
