--- a/bench/measures/cause.py
+++ b/bench/measures/cause.py
@@ -12,12 +12,20 @@
 from msgspec.msgpack import encode
 
 from balsamtide.telemetry.cause import diagnose
+from balsamtide.telemetry.request_log import RequestLog
 from balsamtide.telemetry.sink import AuditRecord, RequestRecord
 from balsamtide.telemetry.stages import Stage
 from balsamtide.telemetry.telemetry import Telemetry
 from bench.figures import Figure
 from bench.standins.http3_exchange import Exchange
-from bench.standins.request_records import FAULTS, make_fault, summarise
+from bench.standins.request_records import (
+    FAULTS,
+    SERVICE,
+    make_fault,
+    merge_logs,
+    record_traffic,
+    summarise,
+)
 from tests.fakes_telemetry import FakeClock, make_record, make_telemetry
 
 __all__ = ["figures"]
@@ -53,8 +61,8 @@
         yield _named_share(name)
     yield _false_alarms()
     yield from _cpu()
-    yield _memory()
-    yield _summary_size()
+    yield from _memory()
+    yield from _summaries()
 
 
 def _named_share(name: str) -> Figure:
@@ -126,7 +134,7 @@
     return process_time() - start
 
 
-def _memory() -> Figure:
+def _memory() -> Iterator[Figure]:
     collect()
     clock = FakeClock()
     start_tracing()
@@ -138,14 +146,25 @@
     collect()
     megabytes = (get_traced_memory()[0] - before) / MEGABYTE
     stop_tracing()
-    telemetry.close()
-    return Figure(
+    yield Figure(
         name="tracing: memory when every bound is reached",
         figure=megabytes,
         unit="MB",
         target=f"< {MAX_MEMORY_MB:.0f}",
         met=megabytes < MAX_MEMORY_MB,
     )
+    yield _summary_cost("when every bound is reached", telemetry.request_log)
+    telemetry.close()
+
+
+def _summary_cost(name: str, log: RequestLog) -> Figure:
+    start = process_time()
+    octets = len(encode(log.summary(SERVICE)))
+    return Figure(
+        name=f"summary: CPU of an agent's answer, {name}",
+        figure=1000 * (process_time() - start),
+        unit=f"ms, {octets} B",
+    )
 
 
 def _fill(telemetry: Telemetry, clock: FakeClock) -> None:
@@ -179,11 +198,13 @@
                 )
 
 
-def _summary_size() -> Figure:
-    octets = len(encode(summarise(FIRST_SEED)))
-    return Figure(
-        name="summary: merged answer of a service of 7",
-        figure=octets / 1024,
-        unit="KB",
-        target="",
+def _summaries() -> Iterator[Figure]:
+    logs = record_traffic(FIRST_SEED)
+    yield _summary_cost("usual", next(iter(logs.values())))
+    start = process_time()
+    octets = len(encode(merge_logs(logs)))
+    yield Figure(
+        name=f"summary: CPU of {len(logs)} answers and their merging",
+        figure=1000 * (process_time() - start),
+        unit=f"ms, {octets} B",
     )
--- a/src/balsamtide/cli/html_page.py
+++ b/src/balsamtide/cli/html_page.py
@@ -48,7 +48,6 @@
 .legend i { display: inline-block; width: .8em; height: .8em; margin-right: .35em; }
 table { border-collapse: collapse; width: 100%; }
 th, td { text-align: left; padding: .25rem .5rem; border-bottom: 1px solid #ddd; }
-td.number, th.number { text-align: right; }
 """
 
 
@@ -75,13 +74,12 @@
 
 
 def _answers(report: SlowReport) -> str:
-    lines = [
-        f"<h2>{escape(report.service)}</h2>",
-        f'<p class="answer">{escape(report.answer)}</p>',
-    ]
-    if report.findings:
+    lines = [f"<h2>{escape(report.service)}</h2>"]
+    if not report.findings:
+        lines.append(f'<p class="answer">{escape(report.answer)}</p>')
+    else:
         items = (
-            f"<li>{escape(finding.sentence)}<br>"
+            f'<li><span class="answer">{escape(finding.sentence)}</span><br>'
             f'<span class="hint">{escape(finding.action)}</span></li>'
             for finding in report.findings
         )
--- a/src/balsamtide/telemetry/cells.py
+++ b/src/balsamtide/telemetry/cells.py
@@ -6,6 +6,7 @@
 
 from array import array
 from collections.abc import Iterable
+from sys import byteorder
 
 from msgspec import Struct
 
@@ -20,6 +21,7 @@
 LINEAR_BUCKETS = 2 * STEPS
 BUCKETS = 96
 LAST_BUCKET = BUCKETS - 1
+COUNT_BYTES = array("I").itemsize
 
 
 def _bucket_of_units(units: int) -> int:
@@ -80,7 +82,7 @@
 
     def __init__(self) -> None:
         self.seconds = 0.0
-        self.counts = array("I", bytes(4 * BUCKETS))
+        self.counts = array("I", bytes(COUNT_BYTES * BUCKETS))
 
     def add(self, seconds: float) -> None:
         """Count one duration."""
@@ -100,9 +102,17 @@
     def add_cells(self, other: "Cells") -> None:
         """Add what was counted elsewhere in this process."""
         self.seconds += other.seconds
-        for bucket, number in enumerate(other.counts):
-            if number:
-                self.counts[bucket] += number
+        # One addition of long integers adds all counts; none of them overflows.
+        total = int.from_bytes(self.counts, byteorder)
+        total += int.from_bytes(other.counts, byteorder)
+        self.counts = array("I", total.to_bytes(COUNT_BYTES * BUCKETS, byteorder))
+
+    def copy(self) -> "Cells":
+        """Return cells with the same counts."""
+        cells = Cells.__new__(Cells)
+        cells.seconds = self.seconds
+        cells.counts = self.counts[:]
+        return cells
 
     def freeze(self, stage: Stage) -> StageCells:
         """Return an immutable copy."""
--- a/src/balsamtide/telemetry/request_log.py
+++ b/src/balsamtide/telemetry/request_log.py
@@ -37,7 +37,7 @@
 RECENT_MINUTES = 2
 BASELINE_FIRST_MINUTE = 10
 SHORT_BASELINE_FIRST_MINUTE = 3
-GROUPS_PER_MINUTE = 48
+GROUPS_PER_MINUTE = 32
 SLOWEST_PER_MINUTE = 16
 FAILED_REQUESTS = 256
 LATEST_REQUESTS = 1024
@@ -97,7 +97,7 @@
     def __init__(self) -> None:
         self.minutes: deque[Minute] = deque()
         self.routes: set[str] = set()
-        self.ended = Group()
+        self.ended = Group()  # all minutes but the newest
 
     def minute(self, number: int) -> Minute:
         """Return the minute ``number``, starting it if it is new."""
@@ -106,10 +106,11 @@
         return self.minutes[-1]
 
     def _start(self, number: int) -> None:
+        if self.minutes:
+            self._add_groups(self.ended, self.minutes[-1])
         self.minutes.append(Minute(number))
         while self.minutes[0].number <= number - GROUP_MINUTES:
-            for group in self.minutes.popleft().groups.values():
-                self.ended.add_group(group)
+            self.minutes.popleft()
         for minute in self.minutes:
             if minute.number <= number - HISTOGRAM_MINUTES:
                 minute.histograms.clear()
@@ -118,11 +119,15 @@
         """Return all requests since the start."""
         totals = Group()
         totals.add_group(self.ended)
-        for minute in self.minutes:
-            for group in minute.groups.values():
-                totals.add_group(group)
+        if self.minutes:
+            self._add_groups(totals, self.minutes[-1])
         return totals
 
+    @staticmethod
+    def _add_groups(totals: Group, minute: Minute) -> None:
+        for group in minute.groups.values():
+            totals.add_group(group)
+
     def route(self, name: str) -> str:
         """Return ``name``, or ``other`` beyond the limit of routes."""
         if name in self.routes:
--- a/src/balsamtide/telemetry/summary.py
+++ b/src/balsamtide/telemetry/summary.py
@@ -217,7 +217,11 @@
         for verdict, number in other.verdicts.items():
             self.verdicts[verdict] = self.verdicts.get(verdict, 0) + number
         for stage, cells in other.stages.items():
-            self.cells(stage).add_cells(cells)
+            own = self.stages.get(stage)
+            if own is None:
+                self.stages[stage] = cells.copy()
+            else:
+                own.add_cells(cells)
         for reason, number in other.reasons.items():
             self.add_reason(reason, number)
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -2,6 +2,7 @@
 
 from itertools import count
 from pathlib import Path
+from re import findall
 
 import pytest
 from cleo.testers.application_tester import ApplicationTester
@@ -104,6 +105,25 @@
     assert next(versions) == 8
 
 
+def test_page_draws_within_its_frame(tmp_path: Path) -> None:
+    """Bars and marks of the page lie inside the drawing, and bars have their length."""
+    page = tmp_path / "slow.html"
+    admin = make_admin(summarise(1, make_fault("queue behind exports", 1)))
+    run_command(f"slow --service timetable --html {page}", admin)
+    drawings = findall(r'viewBox="0 0 (\d+) (\d+)"(.*?)</svg>', page.read_text())
+    assert len(drawings) == 2
+    for width, height, content in drawings:
+        boxes = findall(
+            r'<rect x="([\d.]+)" y="([\d.]+)" width="([\d.]+)" height="(\d+)"', content
+        )
+        boxes += findall(r'<circle cx="([\d.]+)" cy="([\d.]+)" (r)="(\d+)"', content)
+        assert boxes
+        for left, top, size, depth in boxes:
+            right = float(left) + (0 if size == "r" else float(size))
+            assert right < float(width)
+            assert float(top) + float(depth) <= float(height)
+
+
 @pytest.mark.parametrize("name", COMMANDS)
 def test_help_shows_an_example(name: str) -> None:
     """Every command's help has an example that names the command."""
