--- a/src/balsamtide/admission/deadline_admission.py
+++ b/src/balsamtide/admission/deadline_admission.py
@@ -16,7 +16,7 @@
 from balsamtide.admission.long_quotas import long_quotas
 from balsamtide.admission.metrics import ADMITTED, QUEUE_LENGTH, REFUSED, TRANSFERS
 from balsamtide.admission.neighbours import neighbours
-from balsamtide.admission.peer_loads import PeerLoads
+from balsamtide.admission.peer_loads import LONGEST_PEER_WAIT_S, PeerLoads
 from balsamtide.admission.policy import (
     AdmissionPolicy,
     Decision,
@@ -27,11 +27,13 @@
 from balsamtide.admission.report_schedule import ReportSchedule
 from balsamtide.admission.size_classes import SizeClasses
 from balsamtide.admission.slot_table import Holder, SlotTable
+from balsamtide.admission.usage import SlotUsage
 from balsamtide.config.model import Service, SizeClass, Target
 from balsamtide.protocol.actions import Send
 from balsamtide.protocol.messages import Endpoint, LoadReport
 from balsamtide.protocol.verdict import Verdict
 from balsamtide.requests.exits import Exit
+from balsamtide.requests.hand_off import GRANT_S
 from balsamtide.requests.model import Outcome, RequestFacts
 from balsamtide.telemetry.sink import AuditRecord, Sink
 
@@ -39,10 +41,16 @@
 
 QUEUE_WAIT_S = 0.2
 LATE_FACTOR = 3.0
-TRANSFER_RETRY_S = 0.01
-MOST_TRANSFERS = 8
+TRANSFER_RETRY_S = 0.005
+MOST_TRANSFERS = 32
+SHORTEST_TRANSFER_WAIT_S = 0.005
+REMOTE_WAIT_S = 0.01
+BUSY_MARGIN = 0.03
+BUSY_GAIN = 3.0
+MOST_OFFERED = 256
 SHORTEST_RETRY_AFTER_S = 0.05
 US_PER_S = 1_000_000
+PERMILLE = 1000
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -109,13 +117,16 @@
         self.health = TargetHealth()
         self.peers = PeerLoads(service.number, random)
         self.schedule = ReportSchedule(now)
+        self.usage = SlotUsage(now)
         self.queues = {
             size: DeadlineQueue(service.rules.limits.queue)
             for size in (SizeClass.SHORT, SizeClass.LONG)
         }
         self.offered: dict[str, _Offered] = {}
+        self.granted: list[str] = []
         self.transfers: dict[str, int] = {}
         self.is_draining = False
+        self.is_leaving = False
         self.next_retry = float("inf")
         self.configure(service, now)
 
@@ -140,13 +151,21 @@
         """Grant nothing to peers any more and prefer to hand work off."""
         self.is_draining = True
 
+    def use_state(self, *, is_leaving: bool) -> None:
+        """Take whether the target leaves; a leaving target starts nothing new."""
+        self.is_leaving = is_leaving
+        self.is_draining = is_leaving
+
     # Decisions about requests
 
     def arrive(self, request: RequestFacts, now: float) -> Sequence[Decision]:
         """Take a request from a caller."""
         size = self.classes.size(request.route)
         if not self.queues[size] and self._can_start(size, now):
-            return [self._start(request, size, "", now)]
+            targets = self._choose_idler(size, now)
+            if not targets:
+                return [self._start(request, size, "", now)]
+            return [self._transfer(request, size, targets)]
         targets = self._choose(request, size, now)
         if targets:
             return [self._transfer(request, size, targets)]
@@ -197,15 +216,35 @@
             return False
         if self.queues[size] or not self._can_start(size, now):
             return False
-        self.slots.reserved[request.request_id] = Holder(
-            route=request.route,
-            size=size,
-            since=now,
-            service_time_s=self.times.mean(request.route),
-            void_at=grant_deadline,
-        )
+        self._reserve(request, size, grant_deadline, now)
+        return True
+
+    def await_slot(
+        self, request: RequestFacts, wait_deadline: float, now: float
+    ) -> bool:
+        """Queue a peer's offer that got no slot until ``wait_deadline``.
+
+        It waits in the same order as the agent's own requests.  A slot that becomes
+        free for it is reserved, and ``take_granted`` returns the request.
+        """
+        size = self.classes.size(request.route)
+        queue = self.queues[size]
+        if self.is_draining or queue.is_full or request.request_id in queue:
+            return False
+        if size is SizeClass.LONG and not self._long_quota(now):
+            return False
+        if not self.health.takes_work(now, 0):
+            return False
+        entry = queue.place(request, 0.0)
+        entry.expires_at = min(wait_deadline, request.deadline)
+        queue.add(entry)
         return True
 
+    def take_granted(self) -> Sequence[str]:
+        """Return the peers' requests that got a slot since the last call."""
+        granted, self.granted = self.granted, []
+        return granted
+
     def use_grant(self, request_id: str, now: float) -> bool:
         """Turn a reservation into a start; False if it has expired."""
         holder = self.slots.reserved.get(request_id)
@@ -256,10 +295,12 @@
             long_wait_us=round(self._wait_s(SizeClass.LONG, now) * US_PER_S),
             state=self._state(now),
             tenure=self.identity.tenure,
+            busy_permille=round(self.usage.share * PERMILLE),
         )
 
     def reports(self, now: float) -> Sequence[Send]:
         """Return the load reports that are due; call it after every other call."""
+        self.usage.update(self.slots.held / self.own.slots, now)
         report = self.report(now)
         if not self.schedule.is_due(report, len(self.neighbours), now):
             return ()
@@ -271,7 +312,7 @@
     # Inner workings
 
     def _can_start(self, size: SizeClass, now: float) -> bool:
-        if self.slots.held >= self.limit.allowed(now):
+        if self.is_leaving or self.slots.held >= self.limit.allowed(now):
             return False
         if not self.health.takes_work(now, self.slots.held):
             return False
@@ -298,13 +339,43 @@
         self.sink.count(ADMITTED, size=size.value)
         return Start(request.request_id, cause)
 
+    def _reserve(
+        self, request: RequestFacts, size: SizeClass, void_at: float, now: float
+    ) -> None:
+        self.slots.reserved[request.request_id] = Holder(
+            route=request.route,
+            size=size,
+            since=now,
+            service_time_s=self.times.mean(request.route),
+            void_at=void_at,
+        )
+
+    def _grant(self, entry: Waiting, size: SizeClass, now: float) -> None:
+        void_at = min(now + GRANT_S, entry.deadline)
+        self._reserve(entry.request, size, void_at, now)
+        self.granted.append(entry.request.request_id)
+
     def _choose(
         self, request: RequestFacts, size: SizeClass, now: float
     ) -> tuple[int, ...]:
         if self.transfers.get(request.request_id, 0) >= MOST_TRANSFERS:
             return ()
+        wait = self._wait_s(size, now)
+        if size is SizeClass.SHORT and wait < SHORTEST_TRANSFER_WAIT_S:
+            return ()
         allowed = self.quotas if size is SizeClass.LONG else None
-        return self.peers.choose(size, now, allowed)
+        return self.peers.choose(size, now, own_wait_s=wait, allowed=allowed)
+
+    def _choose_idler(self, size: SizeClass, now: float) -> tuple[int, ...]:
+        """Choose peers for a request that could start here, to even slot time out."""
+        mean = self.peers.mean_busy(now)
+        if size is SizeClass.LONG or mean is None:
+            return ()
+        self.usage.update(self.slots.held / self.own.slots, now)
+        excess = self.usage.share - mean
+        if excess < BUSY_MARGIN or self.random.random() > BUSY_GAIN * excess:
+            return ()
+        return self.peers.choose_idler(mean, now)
 
     def _transfer(
         self, request: RequestFacts, size: SizeClass, targets: tuple[int, ...]
@@ -321,14 +392,15 @@
         queue = self.queues[size]
         service_time = self.times.mean(request.route)
         entry = queue.place(request, service_time)
-        wait = self._wait_s(size, now, entry)
+        wait = self._admission_wait_s(entry, size, now)
         objection = self._objection(entry, wait, size, now)
         if objection:
             return [self._refuse(request, objection, wait)]
         entry.cause = self._cause(now)
         queue.add(entry)
         self.sink.gauge(QUEUE_LENGTH, len(queue), size=size.value)
-        self.next_retry = min(self.next_retry, now + TRANSFER_RETRY_S)
+        if self.peers.loads:
+            self.next_retry = min(self.next_retry, now + TRANSFER_RETRY_S)
         return ()
 
     def _objection(
@@ -350,6 +422,16 @@
         retry_after = max(SHORTEST_RETRY_AFTER_S, wait) * self.random.uniform(1, 2)
         return Refused(request.request_id, cause.refusal(retry_after))
 
+    def _admission_wait_s(self, entry: Waiting, size: SizeClass, now: float) -> float:
+        """Return the wait of a new request, here or until a peer takes it."""
+        own = self._wait_s(size, now, entry)
+        if size is SizeClass.LONG or own <= QUEUE_WAIT_S:
+            return own
+        peer = self.peers.shortest_wait(size, now)
+        if peer is None or peer > LONGEST_PEER_WAIT_S:
+            return own
+        return min(own, peer + (len(self.queues[size]) + 1) * REMOTE_WAIT_S)
+
     def _wait_s(
         self, size: SizeClass, now: float, entry: Waiting | None = None
     ) -> float:
@@ -359,13 +441,21 @@
             return 0.0
         if size is SizeClass.LONG:
             return self._long_wait_s(queued, now)
-        held = self.slots.remaining_work(now)
-        return (held + queued) / max(1, self.limit.allowed(now))
+        return self._short_wait_s(queued, now)
+
+    def _short_wait_s(self, queued: float, now: float) -> float:
+        held = sum(self.slots.remaining_work(SizeClass.SHORT, now))
+        left = self.limit.allowed(now) - self.slots.held_by_long
+        if left > 0:
+            return (held + queued) / left
+        long_work = self.slots.remaining_work(SizeClass.LONG, now)
+        return min(long_work, default=0.0) + queued
 
     def _long_wait_s(self, queued: float, now: float) -> float:
         own = self._long_quota(now)
         if own:
-            return (self.slots.remaining_work(now) + queued) / own
+            held = sum(self.slots.remaining_work(SizeClass.LONG, now))
+            return (held + queued) / own
         shortest = self.peers.shortest_wait(SizeClass.LONG, now, self.quotas) or 0.0
         total = max(1, sum(self.quotas.values()))
         return shortest + queued * len(self.quotas) / total
@@ -375,15 +465,29 @@
             return "cold" if self.limit.is_cold else "limit"
         return "long" if self.slots.held_by_long else "short"
 
+    def _forget_offered(self, now: float) -> None:
+        """Drop what was handed off and never reported back."""
+        old = [i for i, o in self.offered.items() if now >= o.request.deadline]
+        for request_id in old:
+            del self.offered[request_id]
+            self.transfers.pop(request_id, None)
+
     def _advance(self, now: float) -> list[Decision]:
         self.slots.void(now)
+        if len(self.offered) > MOST_OFFERED:
+            self._forget_offered(now)
         decisions: list[Decision] = []
         for queue in self.queues.values():
             for entry in queue.hopeless(now):
+                if entry.is_offer:
+                    continue
                 decisions.append(self._refuse(entry.request, Exit.DEADLINE, 0.0))
         for size, queue in self.queues.items():
             while queue and self._can_start(size, now):
                 entry = queue.take()
+                if entry.is_offer:
+                    self._grant(entry, size, now)
+                    continue
                 decisions.append(self._start(entry.request, size, entry.cause, now))
         decisions += self._hand_off_queued(now)
         return decisions
@@ -391,15 +495,13 @@
     def _hand_off_queued(self, now: float) -> list[Decision]:
         decisions: list[Decision] = []
         for size, queue in self.queues.items():
-            head = queue.head()
-            while head is not None:
-                targets = self._choose(head.request, size, now)
+            for entry in queue.own():
+                targets = self._choose(entry.request, size, now)
                 if not targets:
                     break
-                queue.take()
-                decisions.append(self._transfer(head.request, size, targets))
-                head = queue.head()
-        waiting = any(self.queues.values())
+                queue.remove(entry.request.request_id)
+                decisions.append(self._transfer(entry.request, size, targets))
+        waiting = any(self.queues.values()) and self.peers.loads
         self.next_retry = now + TRANSFER_RETRY_S if waiting else float("inf")
         return decisions
 
--- a/src/balsamtide/admission/deadline_queue.py
+++ b/src/balsamtide/admission/deadline_queue.py
@@ -2,6 +2,7 @@
 
 from bisect import bisect_left, insort
 from dataclasses import dataclass, field
+from math import inf
 
 from balsamtide.requests.model import RequestFacts
 
@@ -28,6 +29,8 @@
         Expected time on the target.
     cause : str
         What it waits for, see ``Start.queued_behind``.
+    expires_at : float
+        When a peer's offer ends; infinite for a request of this agent.
     """
 
     rank: int
@@ -37,6 +40,17 @@
     request: RequestFacts = field(compare=False)
     service_time_s: float = field(compare=False)
     cause: str = field(compare=False, default="")
+    expires_at: float = field(compare=False, default=inf)
+
+    @property
+    def is_offer(self) -> bool:
+        """Whether a peer offers the request and waits for a grant."""
+        return self.expires_at < inf
+
+    @property
+    def latest_start(self) -> float:
+        """When it has to start at the latest."""
+        return min(self.expires_at, self.deadline - self.service_time_s)
 
 
 class DeadlineQueue:
@@ -94,15 +108,17 @@
         self.arrivals += 1
         self.work_s += entry.service_time_s
 
-    def head(self) -> Waiting | None:
-        """Return the next request, or None."""
-        return self.entries[0] if self.entries else None
+    def own(self) -> list[Waiting]:
+        """Return the requests of this agent, in order of service."""
+        return [entry for entry in self.entries if not entry.is_offer]
 
     def take(self) -> Waiting:
         """Remove and return the next request."""
         entry = self.entries[0]
-        self.round = max(self.round, entry.round)
         self.remove(entry.request.request_id)
+        if self.entries:
+            self.round = max(self.round, entry.round)
+            self.next_round[entry.request.caller] = entry.round + 1
         return entry
 
     def remove(self, request_id: str) -> Waiting | None:
@@ -111,6 +127,9 @@
         if entry is None:
             return None
         del self.entries[bisect_left(self.entries, entry)]
+        caller = entry.request.caller
+        if self.next_round.get(caller) == entry.round + 1:
+            self.next_round[caller] = entry.round
         self.work_s = max(0.0, self.work_s - entry.service_time_s)
         if not self.entries:
             self._restart()
@@ -122,8 +141,8 @@
         self.work_s = 0.0
 
     def hopeless(self, now: float) -> list[Waiting]:
-        """Remove and return the requests that can't finish by their deadline."""
-        late = [e for e in self.entries if now + e.service_time_s > e.deadline]
+        """Remove and return expired offers and requests that can't finish in time."""
+        late = [e for e in self.entries if now >= e.latest_start]
         for entry in late:
             self.remove(entry.request.request_id)
         return late
@@ -131,6 +150,4 @@
     @property
     def latest_start(self) -> float:
         """Earliest of the times by which a waiting request has to start."""
-        return min(
-            (e.deadline - e.service_time_s for e in self.entries), default=float("inf")
-        )
+        return min((e.latest_start for e in self.entries), default=inf)
