--- a/src/balsamtide/telemetry/cause.py
+++ b/src/balsamtide/telemetry/cause.py
@@ -280,7 +280,7 @@
         names.append(name)
         count += totals[name].count
         requests += totals[name].requests
-    if len(names) == len(totals):
+    if len(names) > len(totals) // 2:
         return None
     if not _is_concentrated(count, total.count, requests / total.requests):
         return None
