--- /dev/null
+++ b/src/balsamtide/agent/request_handler.py
@@ -0,0 +1,291 @@
+"""One task per request: from its first header to its record."""
+
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass
+
+from trio import CancelScope, current_time
+
+from balsamtide.agent.execution import Executor, Job
+from balsamtide.agent.flow_answer import FlowAnswer
+from balsamtide.agent.flow_task import FlowTask
+from balsamtide.agent.keyed_requests import KeyedRequests
+from balsamtide.agent.request_facts import (
+    ParsedRequest,
+    RequestFault,
+    parse_request,
+)
+from balsamtide.agent.request_stream import RequestStream
+from balsamtide.config.model import Service
+from balsamtide.protocol.headers import REASON, RETRY_AFTER_MS
+from balsamtide.protocol.verdict import Verdict
+from balsamtide.requests.answer_recorder import AnswerRecorder
+from balsamtide.requests.exits import Exit
+from balsamtide.requests.home import AskHome, Refuse, Replay, RunHere
+from balsamtide.requests.model import Outcome, Refusal
+from balsamtide.requests.runner import Header
+from balsamtide.telemetry.sink import RequestRecord, Sink
+from balsamtide.telemetry.stages import Stage, StageTimes
+
+__all__ = ["AgentIdentity", "RequestHandler"]
+
+STAMP_PATH = "/.well-known/balsamtide"
+STATUS_NO_CONTENT = 204
+STATUS_BAD_REQUEST = 400
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AgentIdentity:
+    """Names that appear in records.
+
+    Parameters
+    ----------
+    service, target, zone : str
+        Names of the service, of the target and of its availability zone.
+    """
+
+    service: str
+    target: str
+    zone: str
+
+
+class FlowBody:
+    """The body of a request that comes over a flow.
+
+    Parameters
+    ----------
+    stream : RequestStream
+        The request.
+    flows : FlowTask
+        Owner of the flow.
+    """
+
+    def __init__(self, stream: RequestStream, flows: FlowTask) -> None:
+        self.stream = stream
+        self.flows = flows
+
+    @property
+    def is_replayable(self) -> bool:
+        """Whether it can be read from its start again."""
+        return self.stream.is_replayable
+
+    async def read(self) -> AsyncIterator[bytes]:
+        """Yield its parts, letting the caller send more as they are used."""
+        async for chunk in self.stream.body():
+            if self.stream.can_resume():
+                await self.flows.resume_body(self.stream.key)
+            yield chunk
+
+
+@dataclass(slots=True)
+class Work:
+    """State of one request while it is handled."""
+
+    stream: RequestStream
+    parsed: ParsedRequest
+    answer: FlowAnswer
+    job: Job
+
+
+class RequestHandler:
+    """Handles requests; one call of ``handle`` is one task.
+
+    Parameters
+    ----------
+    identity : AgentIdentity
+        Names for records.
+    service : callable
+        Returns the service of the version in force.
+    version : callable
+        Returns that version.
+    new_request_id : callable
+        Returns an identifier unique in the fleet.
+    flows : FlowTask
+        Owner of the flows.
+    executor : Executor
+        Admits and runs.
+    keyed : KeyedRequests
+        Decides about keyed requests.
+    sink : Sink
+        Where requests are accounted.
+    """
+
+    def __init__(
+        self,
+        *,
+        identity: AgentIdentity,
+        service: Callable[[], Service],
+        version: Callable[[], int],
+        new_request_id: Callable[[], str],
+        flows: FlowTask,
+        executor: Executor,
+        keyed: KeyedRequests,
+        sink: Sink,
+    ) -> None:
+        self.identity = identity
+        self.service = service
+        self.version = version
+        self.new_request_id = new_request_id
+        self.flows = flows
+        self.executor = executor
+        self.keyed = keyed
+        self.sink = sink
+        self.open_requests = 0
+
+    async def handle(self, stream: RequestStream) -> None:
+        """Handle one request."""
+        request_id = self.new_request_id()
+        answer = FlowAnswer(
+            flows=self.flows,
+            stream=stream,
+            request_id=request_id,
+            stamp=self.keyed.issue_stamp(),
+        )
+        self.open_requests += 1
+        try:
+            await self._parse_and_handle(stream, answer, request_id)
+        finally:
+            self.open_requests -= 1
+
+    async def _parse_and_handle(
+        self, stream: RequestStream, answer: FlowAnswer, request_id: str
+    ) -> None:
+        try:
+            parsed = parse_request(
+                stream.opened,
+                service_name=self.identity.service,
+                service=self.service(),
+                request_id=request_id,
+                now=stream.opened_at,
+            )
+        except RequestFault as fault:
+            refusal = Refusal(
+                verdict=Verdict.NOT_RUN, reason=str(fault), status=STATUS_BAD_REQUEST
+            )
+            await self._answer_only(stream, _send_refusal(answer, refusal))
+            return
+        if parsed.head.path == STAMP_PATH:
+            head = answer.start_with(
+                STATUS_NO_CONTENT, (), Verdict.NOT_RUN, is_ended=True
+            )
+            await self._answer_only(stream, head)
+            return
+        job = Job(
+            facts=parsed.facts,
+            head=parsed.head,
+            body=FlowBody(stream, self.flows),
+            answer=AnswerRecorder(answer),
+        )
+        await self._handle(Work(stream, parsed, answer, job))
+
+    async def _answer_only(self, stream: RequestStream, sending) -> None:  # type: ignore[no-untyped-def]
+        with stream.scope:
+            await sending
+        await self.flows.finish(stream.key, is_aborted=False)
+
+    async def _handle(self, work: Work) -> None:
+        outcome = Exit.CANCELLED_WAITING.outcome()
+        try:
+            with work.stream.scope:
+                outcome = await self._decide_and_run(work)
+            if work.stream.scope.cancelled_caught and work.job.is_started:
+                outcome = Exit.CANCELLED_RUNNING.outcome()
+        finally:
+            is_whole = work.answer.is_started and outcome.is_complete
+            with CancelScope(shield=True):
+                await self.flows.finish(work.stream.key, is_aborted=not is_whole)
+        self._record(work, outcome)
+
+    async def _decide_and_run(self, work: Work) -> Outcome:
+        now = current_time()
+        decision = self.keyed.decide(work.parsed.facts, work.parsed.stamp, now)
+        if isinstance(decision, Refuse):
+            return await self._refuse(work, decision.refusal)
+        if isinstance(decision, Replay):
+            return await self._replay(work, decision)
+        if isinstance(decision, AskHome):
+            return await self._ask_home(work, decision)
+        return await self._run(work, decision)
+
+    async def _replay(self, work: Work, replay: Replay) -> Outcome:
+        answer = replay.answer
+        await work.answer.start_with(answer.status, answer.headers, Verdict.RAN)
+        await work.answer.write(answer.body)
+        await work.answer.end()
+        return Exit.REPLAYED.outcome(status=answer.status)
+
+    async def _ask_home(self, work: Work, decision: AskHome) -> Outcome:
+        runner = self.keyed.home_runner(decision)
+        job = work.job
+        outcome = await runner.run(job.facts, job.head, job.body.read(), job.answer)
+        job.attempts.append(f"home {outcome.verdict.value} {outcome.reason}")
+        return await self._end_answer(work, outcome)
+
+    async def _run(self, work: Work, decision: RunHere) -> Outcome:
+        work.job.keyed = decision.keyed
+        # A keyed request that may have started is finished even if its caller is
+        # gone, so that a repeat gets the answer.
+        work.stream.must_complete = decision.keyed is not None
+        outcome = await self.executor.execute(
+            work.job, stall_s=lambda: work.answer.stall_s
+        )
+        return await self._end_answer(work, outcome)
+
+    async def _end_answer(self, work: Work, outcome: Outcome) -> Outcome:
+        if work.answer.is_started:
+            if outcome.is_complete:
+                await work.answer.end()
+            return outcome
+        refusal = work.job.refusal or Refusal(
+            verdict=outcome.verdict, reason=outcome.reason, status=outcome.status
+        )
+        return await self._refuse(work, refusal)
+
+    async def _refuse(self, work: Work, refusal: Refusal) -> Outcome:
+        await _send_refusal(work.answer, refusal)
+        return Outcome(
+            verdict=refusal.verdict, status=refusal.status, reason=refusal.reason
+        )
+
+    def _record(self, work: Work, outcome: Outcome) -> None:
+        job = work.job
+        self.sink.request(
+            RequestRecord(
+                request_id=job.facts.request_id,
+                service=job.facts.service,
+                route=job.facts.route,
+                target=job.ran_on,
+                zone=self.identity.zone if job.ran_on else "",
+                version=self.version(),
+                verdict=outcome.verdict,
+                status=outcome.status,
+                reason=outcome.reason,
+                stages=_add_flow_stages(work).seconds,
+                attempts=tuple(job.attempts),
+                balancer_version=work.stream.opened.balancer_version,
+            )
+        )
+
+
+def _add_flow_stages(work: Work) -> StageTimes:
+    opened = work.stream.opened
+    stages = work.job.stages
+    elapsed = current_time() - work.stream.opened_at
+    loss_s = min(work.stream.loss_s, work.answer.stall_s)
+    stages.add(Stage.LOSS_STALL, loss_s)
+    stages.add(Stage.CALLER_STALL, work.answer.stall_s - loss_s)
+    stages.add(Stage.UNEXPLAINED, max(0.0, elapsed - stages.total))
+    stages.add(Stage.CALLER_PATH, opened.round_trip_s)
+    stages.add(Stage.BALANCER, opened.inner_s)
+    stages.add(Stage.HANDSHAKE, opened.handshake_s)
+    return stages
+
+
+async def _send_refusal(answer: FlowAnswer, refusal: Refusal) -> None:
+    headers: list[Header] = [(REASON, refusal.reason.encode())]
+    if refusal.retry_after_s is not None:
+        milliseconds = max(1, int(refusal.retry_after_s * 1000))
+        headers.append((RETRY_AFTER_MS, str(milliseconds).encode()))
+        headers.append((b"retry-after", str(-(-milliseconds // 1000)).encode()))
+    await answer.start_with(
+        refusal.status, tuple(headers), refusal.verdict, is_ended=True
+    )
--- a/src/balsamtide/telemetry/sink.py
+++ b/src/balsamtide/telemetry/sink.py
@@ -30,6 +30,8 @@
         Why.
     actor : str
         Who or what made the change.
+    source : str
+        Who delivered it to this process.
     """
 
     kind: str
@@ -38,6 +40,7 @@
     version: int
     cause: str = ""
     actor: str = ""
+    source: str = ""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -64,6 +67,8 @@
         Seconds by stage.
     attempts : tuple of str
         One line an attempt: ``"target verdict reason"``.
+    balancer_version : int
+        Configuration version by which the balancer routed the flow; 0 if unknown.
     """
 
     request_id: str
@@ -77,6 +82,12 @@
     reason: str = ""
     stages: dict[Stage, float] = field(default_factory=dict)
     attempts: tuple[str, ...] = ()
+    balancer_version: int = 0
+
+    @property
+    def total_s(self) -> float:
+        """Sum over all stages, seconds."""
+        return sum(self.stages.values())
 
 
 class Sink(ABC):
