--- a/src/balsamtide/membership/state_rpc.py
+++ b/src/balsamtide/membership/state_rpc.py
@@ -234,5 +234,5 @@
         raise ValueError("state is incomplete or damaged")
     try:
         return decode(content, type=State)
-    except (ValidationError, DecodeError) as error:
+    except (ValidationError, DecodeError, RecursionError) as error:
         raise ValueError(f"state is malformed: {error}") from error
--- a/src/balsamtide/protocol/datagram.py
+++ b/src/balsamtide/protocol/datagram.py
@@ -97,5 +97,5 @@
             raise DecodeError(DecodeFault.BAD_MAC, f"key number {datagram[1]}")
         try:
             return self.decoder.decode(body)
-        except (ValidationError, MsgspecDecodeError) as error:
+        except (ValidationError, MsgspecDecodeError, RecursionError) as error:
             raise DecodeError(DecodeFault.MALFORMED, str(error)) from error
--- a/src/balsamtide/protocol/rpc.py
+++ b/src/balsamtide/protocol/rpc.py
@@ -46,5 +46,5 @@
         """
         try:
             return decode(data, type=message_type)
-        except (ValidationError, MsgspecDecodeError) as error:
+        except (ValidationError, MsgspecDecodeError, RecursionError) as error:
             raise DecodeError(DecodeFault.MALFORMED, str(error)) from error
