--- a/bench/measures/epidemic.py
+++ b/bench/measures/epidemic.py
@@ -416,7 +416,7 @@
 def _false_suspects() -> Iterator[Figure]:
     result = measure_traffic(90, 400.0, seed=2)
     yield Figure(
-        name=f"liveness: false suspects, {result.member_hours:.0f} member hours, 1% loss",
+        name=f"liveness: false suspects, {result.member_hours:.0f} h, 1% loss",
         figure=result.false_suspects,
         unit="claims",
         target="0",
