--- a/src/balsamtide/membership/readers.py
+++ b/src/balsamtide/membership/readers.py
@@ -6,10 +6,11 @@
 
 from collections.abc import Awaitable, Callable, Sequence
 from random import Random
-from typing import Protocol
+from typing import Protocol, TypeVar
 
 import trio
 
+from balsamtide.config.pacing import Backoff, ReadBudget
 from balsamtide.config.port import PlatformError, PlatformPort, Snapshot
 from balsamtide.membership.events import PLATFORM_FAILED, PLATFORM_OLDER
 from balsamtide.membership.log import EntryLog
@@ -21,10 +22,14 @@
 
 __all__ = ["PlatformReader", "SnapshotLog", "read_platform"]
 
+Answer = TypeVar("Answer")
+
 # Time that one watch waits at the platform.
 WATCH_S = 25.0
 # Time after which a read counts as failed, beyond its own waiting.
 READ_TIMEOUT_S = 5.0
+# The same for snapshots and the list, which can be long.
+BULK_TIMEOUT_S = 30.0
 # Least time between reads that brought nothing, for a platform that does not wait.
 IDLE_READ_S = 1.0
 # How often a process that is not a reader looks whether it has become one.
@@ -35,10 +40,11 @@
 NEWEST_CHECK_S = 60.0
 # Entries missed from which on a snapshot is read instead.
 SNAPSHOT_GAP = 500
-# Failed reads of entries after which a snapshot is tried.
-SNAPSHOT_FAILURES = 2
-SHORTEST_BACKOFF_S = 0.5
-LONGEST_BACKOFF_S = 30.0
+# Bounds of the reads of one process, whatever fails.
+READS_PER_S = 2.0
+READ_BURST = 10.0
+# Rounding can leave a budget a hair short of one call at the time it names.
+LEAST_WAIT_S = 0.01
 
 
 class SnapshotLog(EntryLog, Protocol):
@@ -81,7 +87,10 @@
         self.random = random
         self.list_period = ListPeriod(random)
         self.instances = 0
-        self.failures = 0
+        self.backoff = Backoff(random=random)
+        self.budget = ReadBudget(
+            per_second=READS_PER_S, burst=READ_BURST, now=trio.current_time()
+        )
         self.is_older = False
         self.newest = 0
         self.next_newest_check = float("-inf")
@@ -95,7 +104,7 @@
     async def _read_entries(self) -> None:
         while True:
             if not self.membership.is_reader:
-                self.failures = 0
+                self.backoff.succeeded()
                 self.next_newest_check = float("-inf")
                 await trio.sleep(LEASE_CHECK_S)
                 continue
@@ -103,19 +112,17 @@
             started = trio.current_time()
             is_read = await self._try("entries", self._read_once)
             self.membership.note_read(is_read)
-            self.failures = 0 if is_read else self.failures + 1
             if not is_read:
                 await self._recover()
-                await trio.sleep(self._backoff_s(self.failures))
-            elif self.log.held.number == before:
+                await trio.sleep_until(self.backoff.failed(trio.current_time()))
+                continue
+            self.backoff.succeeded()
+            if self.log.held.number == before:
                 await trio.sleep_until(started + IDLE_READ_S)
 
     async def _recover(self) -> None:
         """Read a snapshot after a failed read, where the log has gone on."""
-        if (
-            self.failures % SNAPSHOT_FAILURES == 0
-            and self.newest > self.log.held.number
-        ):
+        if self.backoff.failures and self.newest > self.log.held.number:
             await self._try("snapshot", self._read_snapshot)
 
     async def _try(self, kind: str, read: Callable[[], Awaitable[None]]) -> bool:
@@ -130,25 +137,30 @@
         sink.count(PLATFORM_READS, kind=kind, outcome="ok")
         return True
 
-    def _backoff_s(self, failures: int) -> float:
-        longest_s = min(LONGEST_BACKOFF_S, SHORTEST_BACKOFF_S * 2 ** min(failures, 8))
-        return longest_s * (0.5 + 0.5 * self.random.random())
+    async def _call(
+        self, read: Callable[[], Awaitable[Answer]], timeout_s: float
+    ) -> Answer:
+        """Call the platform once, within the budget and a timeout."""
+        while not self.budget.take(now := trio.current_time()):
+            await trio.sleep_until(max(self.budget.ready_at(now), now + LEAST_WAIT_S))
+        with trio.fail_after(timeout_s):
+            return await read()
 
     async def _read_once(self) -> None:
         if trio.current_time() >= self.next_newest_check:
             await self._check_newest()
-        if self.newest - self.log.held.number >= SNAPSHOT_GAP:
-            await self._read_snapshot()
+            if self.newest - self.log.held.number >= SNAPSHOT_GAP:
+                await self._try("snapshot", self._read_snapshot)
         held = self.log.held.number
-        with trio.fail_after(WATCH_S + READ_TIMEOUT_S):
-            entries = await self.platform.watch(held, WATCH_S)
+        entries = await self._call(
+            lambda: self.platform.watch(held, WATCH_S), WATCH_S + READ_TIMEOUT_S
+        )
         if entries and entries[0].number > held + 1:
             await self._read_snapshot()
         self._take(entries)
 
     async def _check_newest(self) -> None:
-        with trio.fail_after(READ_TIMEOUT_S):
-            newest = await self.platform.newest()
+        newest = await self._call(self.platform.newest, READ_TIMEOUT_S)
         self.next_newest_check = trio.current_time() + NEWEST_CHECK_S
         self.newest = newest
         held = self.log.held.number
@@ -158,8 +170,7 @@
         self.is_older = is_older
 
     async def _read_snapshot(self) -> None:
-        with trio.fail_after(READ_TIMEOUT_S):
-            snapshot = await self.platform.snapshot()
+        snapshot = await self._call(self.platform.snapshot, BULK_TIMEOUT_S)
         now = trio.current_time()
         self.log.offer_snapshot(snapshot, source="platform", now=now)
         self.deliver(self.membership.entries_arrived(now))
@@ -172,14 +183,15 @@
         self.deliver(self.membership.entries_arrived(now))
 
     async def _read_instances(self) -> None:
-        failures = 0
+        backoff = Backoff(random=self.random)
         while True:
             is_read = await self._try("instances", self._read_list)
-            failures = 0 if is_read else failures + 1
+            if is_read:
+                backoff.succeeded()
             if is_read or (self.instances and not self.membership.is_reader):
                 await self._wait_for_list_period()
             else:
-                await trio.sleep(self._backoff_s(failures))
+                await trio.sleep_until(backoff.failed(trio.current_time()))
 
     async def _wait_for_list_period(self) -> None:
         """Wait for the next read; becoming a reader cuts the wait short.
@@ -196,8 +208,7 @@
                 period_s = min(period_s, reader_s)
 
     async def _read_list(self) -> None:
-        with trio.fail_after(READ_TIMEOUT_S):
-            instances = await self.platform.instances()
+        instances = await self._call(self.platform.instances, BULK_TIMEOUT_S)
         self.instances = len(instances)
         if not instances:
             return
