--- a/src/balsamtide/admission/deadline_admission.py
+++ b/src/balsamtide/admission/deadline_admission.py
@@ -33,6 +33,7 @@
 from balsamtide.protocol.messages import Endpoint, LoadReport
 from balsamtide.protocol.verdict import Verdict
 from balsamtide.requests.exits import Exit
+from balsamtide.requests.hand_off import GRANT_S
 from balsamtide.requests.model import Outcome, RequestFacts
 from balsamtide.telemetry.sink import AuditRecord, Sink
 
@@ -41,8 +42,9 @@
 QUEUE_WAIT_S = 0.2
 LATE_FACTOR = 3.0
 TRANSFER_RETRY_S = 0.005
+LONGEST_TRANSFER_RETRY_S = 0.08
 MOST_TRANSFERS = 32
-SHORTEST_TRANSFER_WAIT_S = 0.003
+SHORTEST_TRANSFER_WAIT_S = 0.01
 REMOTE_WAIT_S = 0.01
 BUSY_MARGIN = 0.03
 BUSY_GAIN = 3.0
@@ -74,12 +76,29 @@
     tenure: int
 
 
-@dataclass(slots=True)
+@dataclass(frozen=True, slots=True)
 class _Offered:
     request: RequestFacts
     targets: tuple[int, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class _Attempts:
+    """How often a request was offered, and when it is offered again at the earliest."""
+
+    count: int = 0
+    next_at: float = 0.0
+
+    def failed(self, now: float) -> "_Attempts":
+        """Return what is true after another failure."""
+        wait = TRANSFER_RETRY_S * 2**self.count
+        return _Attempts(self.count + 1, now + min(LONGEST_TRANSFER_RETRY_S, wait))
+
+    def is_due(self, now: float) -> bool:
+        """Tell whether the request may be offered."""
+        return self.count < MOST_TRANSFERS and now >= self.next_at
+
+
 class DeadlineAdmission(AdmissionPolicy):
     """Admits by deadline, keeps slots for short work and shares work with peers.
 
@@ -122,8 +141,10 @@
             for size in (SizeClass.SHORT, SizeClass.LONG)
         }
         self.offered: dict[str, _Offered] = {}
-        self.transfers: dict[str, int] = {}
+        self.granted: list[str] = []
+        self.attempts: dict[str, _Attempts] = {}
         self.is_draining = False
+        self.is_leaving = False
         self.next_retry = float("inf")
         self.configure(service, now)
 
@@ -148,6 +169,11 @@
         """Grant nothing to peers any more and prefer to hand work off."""
         self.is_draining = True
 
+    def use_state(self, *, is_leaving: bool) -> None:
+        """Take whether the target leaves; a leaving target starts nothing new."""
+        self.is_leaving = is_leaving
+        self.is_draining = is_leaving
+
     # Decisions about requests
 
     def arrive(self, request: RequestFacts, now: float) -> Sequence[Decision]:
@@ -169,7 +195,7 @@
         """Take the end of a request that was started here or handed off."""
         holder = self.slots.release(request_id)
         offered = self.offered.pop(request_id, None)
-        self.transfers.pop(request_id, None)
+        self.attempts.pop(request_id, None)
         if holder is not None:
             self._record(holder, outcome, now)
         elif offered is not None:
@@ -180,7 +206,7 @@
         """Forget a request that its caller gave up, wherever it stands."""
         self.slots.release(request_id)
         self.offered.pop(request_id, None)
-        self.transfers.pop(request_id, None)
+        self.attempts.pop(request_id, None)
         for queue in self.queues.values():
             queue.remove(request_id)
         return self._advance(now)
@@ -192,6 +218,8 @@
             return ()
         self.peers.deny(offered.targets, now)
         request = offered.request
+        attempts = self.attempts.get(request_id, _Attempts())
+        self.attempts[request_id] = attempts.failed(now)
         size = self.classes.size(request.route)
         if not self.queues[size] and self._can_start(size, now):
             return [self._start(request, size, "short", now)]
@@ -208,15 +236,35 @@
             return False
         if self.queues[size] or not self._can_start(size, now):
             return False
-        self.slots.reserved[request.request_id] = Holder(
-            route=request.route,
-            size=size,
-            since=now,
-            service_time_s=self.times.mean(request.route),
-            void_at=grant_deadline,
-        )
+        self._reserve(request, size, grant_deadline, now)
+        return True
+
+    def await_slot(
+        self, request: RequestFacts, wait_deadline: float, now: float
+    ) -> bool:
+        """Queue a peer's offer that got no slot until ``wait_deadline``.
+
+        It waits in the same order as the agent's own requests.  A slot that becomes
+        free for it is reserved, and ``take_granted`` returns the request.
+        """
+        size = self.classes.size(request.route)
+        queue = self.queues[size]
+        if self.is_draining or queue.is_full or request.request_id in queue:
+            return False
+        if size is SizeClass.LONG and not self._long_quota(now):
+            return False
+        if not self.health.takes_work(now, 0):
+            return False
+        entry = queue.place(request, 0.0)
+        entry.expires_at = min(wait_deadline, request.deadline)
+        queue.add(entry)
         return True
 
+    def take_granted(self) -> Sequence[str]:
+        """Return the peers' requests that got a slot since the last call."""
+        granted, self.granted = self.granted, []
+        return granted
+
     def use_grant(self, request_id: str, now: float) -> bool:
         """Turn a reservation into a start; False if it has expired."""
         holder = self.slots.reserved.get(request_id)
@@ -284,7 +332,7 @@
     # Inner workings
 
     def _can_start(self, size: SizeClass, now: float) -> bool:
-        if self.slots.held >= self.limit.allowed(now):
+        if self.is_leaving or self.slots.held >= self.limit.allowed(now):
             return False
         if not self.health.takes_work(now, self.slots.held):
             return False
@@ -301,7 +349,7 @@
     def _start(
         self, request: RequestFacts, size: SizeClass, cause: str, now: float
     ) -> Start:
-        self.transfers.pop(request.request_id, None)
+        self.attempts.pop(request.request_id, None)
         self.slots.running[request.request_id] = Holder(
             route=request.route,
             size=size,
@@ -311,17 +359,35 @@
         self.sink.count(ADMITTED, size=size.value)
         return Start(request.request_id, cause)
 
+    def _reserve(
+        self, request: RequestFacts, size: SizeClass, void_at: float, now: float
+    ) -> None:
+        self.slots.reserved[request.request_id] = Holder(
+            route=request.route,
+            size=size,
+            since=now,
+            service_time_s=self.times.mean(request.route),
+            void_at=void_at,
+        )
+
+    def _grant(self, entry: Waiting, size: SizeClass, now: float) -> None:
+        void_at = min(now + GRANT_S, entry.request.deadline)
+        self._reserve(entry.request, size, void_at, now)
+        self.granted.append(entry.request.request_id)
+
     def _choose(
         self, request: RequestFacts, size: SizeClass, now: float
     ) -> tuple[int, ...]:
-        if self.transfers.get(request.request_id, 0) >= MOST_TRANSFERS:
-            return ()
         wait = self._wait_s(size, now)
         if size is SizeClass.SHORT and wait < SHORTEST_TRANSFER_WAIT_S:
             return ()
         allowed = self.quotas if size is SizeClass.LONG else None
         return self.peers.choose(size, now, own_wait_s=wait, allowed=allowed)
 
+    def _may_offer(self, request: RequestFacts, now: float) -> bool:
+        attempts = self.attempts.get(request.request_id)
+        return attempts is None or attempts.is_due(now)
+
     def _choose_idler(self, size: SizeClass, now: float) -> tuple[int, ...]:
         """Choose peers for a request that could start here, to even slot time out."""
         mean = self.peers.mean_busy(now)
@@ -336,8 +402,6 @@
     def _transfer(
         self, request: RequestFacts, size: SizeClass, targets: tuple[int, ...]
     ) -> Transfer:
-        count = self.transfers.get(request.request_id, 0)
-        self.transfers[request.request_id] = count + 1
         self.offered[request.request_id] = _Offered(request, targets)
         self.sink.count(TRANSFERS, size=size.value)
         return Transfer(request.request_id, targets)
@@ -362,7 +426,7 @@
     def _objection(
         self, entry: Waiting, wait: float, size: SizeClass, now: float
     ) -> Exit | None:
-        if now + wait + entry.service_time_s > entry.deadline:
+        if now + wait + entry.service_time_s > entry.request.deadline:
             return Exit.DEADLINE
         if self.queues[size].is_full:
             return Exit.QUEUE_FULL
@@ -373,7 +437,7 @@
         return None
 
     def _refuse(self, request: RequestFacts, cause: Exit, wait: float) -> Refused:
-        self.transfers.pop(request.request_id, None)
+        self.attempts.pop(request.request_id, None)
         self.sink.count(REFUSED, reason=cause.reason)
         retry_after = max(SHORTEST_RETRY_AFTER_S, wait) * self.random.uniform(1, 2)
         return Refused(request.request_id, cause.refusal(retry_after))
@@ -397,13 +461,21 @@
             return 0.0
         if size is SizeClass.LONG:
             return self._long_wait_s(queued, now)
-        held = self.slots.remaining_work(now)
-        return (held + queued) / max(1, self.limit.allowed(now))
+        return self._short_wait_s(queued, now)
+
+    def _short_wait_s(self, queued: float, now: float) -> float:
+        held = sum(self.slots.remaining_work(SizeClass.SHORT, now))
+        left = self.limit.allowed(now) - self.slots.held_by_long
+        if left > 0:
+            return (held + queued) / left
+        long_work = self.slots.remaining_work(SizeClass.LONG, now)
+        return min(long_work, default=0.0) + queued
 
     def _long_wait_s(self, queued: float, now: float) -> float:
         own = self._long_quota(now)
         if own:
-            return (self.slots.remaining_work(now) + queued) / own
+            held = sum(self.slots.remaining_work(SizeClass.LONG, now))
+            return (held + queued) / own
         shortest = self.peers.shortest_wait(SizeClass.LONG, now, self.quotas) or 0.0
         total = max(1, sum(self.quotas.values()))
         return shortest + queued * len(self.quotas) / total
@@ -418,7 +490,7 @@
         old = [i for i, o in self.offered.items() if now >= o.request.deadline]
         for request_id in old:
             del self.offered[request_id]
-            self.transfers.pop(request_id, None)
+            self.attempts.pop(request_id, None)
 
     def _advance(self, now: float) -> list[Decision]:
         self.slots.void(now)
@@ -427,10 +499,15 @@
         decisions: list[Decision] = []
         for queue in self.queues.values():
             for entry in queue.hopeless(now):
+                if entry.is_offer:
+                    continue
                 decisions.append(self._refuse(entry.request, Exit.DEADLINE, 0.0))
         for size, queue in self.queues.items():
             while queue and self._can_start(size, now):
                 entry = queue.take()
+                if entry.is_offer:
+                    self._grant(entry, size, now)
+                    continue
                 decisions.append(self._start(entry.request, size, entry.cause, now))
         decisions += self._hand_off_queued(now)
         return decisions
@@ -438,14 +515,14 @@
     def _hand_off_queued(self, now: float) -> list[Decision]:
         decisions: list[Decision] = []
         for size, queue in self.queues.items():
-            head = queue.head()
-            while head is not None:
-                targets = self._choose(head.request, size, now)
+            for entry in queue.own():
+                if not self._may_offer(entry.request, now):
+                    continue
+                targets = self._choose(entry.request, size, now)
                 if not targets:
                     break
-                queue.remove(head.request.request_id)
-                decisions.append(self._transfer(head.request, size, targets))
-                head = queue.head()
+                queue.remove(entry.request.request_id)
+                decisions.append(self._transfer(entry.request, size, targets))
         waiting = any(self.queues.values()) and self.peers.loads
         self.next_retry = now + TRANSFER_RETRY_S if waiting else float("inf")
         return decisions
--- a/src/balsamtide/agent/work.py
+++ b/src/balsamtide/agent/work.py
@@ -16,6 +16,7 @@
     AdmissionIdentity,
     DeadlineAdmission,
 )
+from balsamtide.admission.offer_desk import OfferDesk
 from balsamtide.agent.dispatcher import Dispatcher
 from balsamtide.agent.events import AGENT_STOPPED, DRAIN_STARTED
 from balsamtide.agent.execution import Executor
@@ -32,10 +33,10 @@
 from balsamtide.agent.request_stream import RequestStream
 from balsamtide.agent.return_path import BalancerLeases
 from balsamtide.agent.service_view import ServiceView
+from balsamtide.agent.slot_runner import SlotRunner
 from balsamtide.agent.steering import PeerSteering
 from balsamtide.agent.succession import hand_over_ledgers
 from balsamtide.agent.target_client import TargetRunner
-from balsamtide.config.model import SizeClass
 from balsamtide.node.node import Node
 from balsamtide.node.rpc import client_context, serve_rpc, server_context
 from balsamtide.protocol.connection_id import Destination
@@ -55,6 +56,8 @@
 HOUSEKEEPING_PERIOD_S = 0.25
 DRAIN_IDLE_S = 1.0
 CLOSE_S = 0.5
+# Above every share of slot time, so that any peer that takes work is a candidate.
+ANY_BUSY_SHARE = 1.1
 
 
 class AgentWork:
@@ -98,7 +101,8 @@
         self.extra_services = extra_services
         self.tenure = random.getrandbits(TENURE_BITS)
         self.policy = self._make_policy()
-        self.dispatcher = Dispatcher(self.policy, on_change=self._send_reports)
+        self.desk = OfferDesk(self.policy)
+        self.dispatcher = Dispatcher(self.policy, on_change=self._after_change)
         self.home = Home(
             view.service.number, Ledger(target=view.target.number, tenure=self.tenure)
         )
@@ -106,9 +110,12 @@
         self.client = HandOffClient(
             view.rpc_endpoint,
             ssl=client_context(settings.rpc_tls),
-            on_round_trip=self.policy.peers.record_round_trip,
+            on_reply=self._record_reply,
+        )
+        self.target = TargetRunner(Endpoint(view.target.host, view.target.port))
+        self.runner = SlotRunner(
+            self.target, dispatcher=self.dispatcher, service=lambda: view.service
         )
-        self.runner = TargetRunner(Endpoint(view.target.host, view.target.port))
         self.executor = Executor(
             dispatcher=self.dispatcher,
             runner=self.runner,
@@ -190,13 +197,20 @@
 
     # Peers
 
+    def _record_reply(self, target: int, is_granted: bool, seconds: float) -> None:
+        self.policy.peers.record_reply(target, is_granted, seconds, current_time())
+
     def _best_peer(self, now: float) -> Endpoint | None:
-        chosen = self.policy.peers.choose(SizeClass.SHORT, now)
+        chosen = self.policy.peers.choose_idler(ANY_BUSY_SHARE, now)
         return self.view.agent_endpoint(chosen[0]) if chosen else None
 
     def _is_ready(self, now: float) -> bool:
         return not self.policy.is_draining and not self.policy.health.is_ejected
 
+    def _after_change(self, now: float) -> None:
+        self.desk.wake()
+        self._send_reports(now)
+
     def _send_reports(self, now: float) -> None:
         self.node.send(self.policy.reports(now))
 
@@ -214,7 +228,7 @@
         if is_leaving == self.is_leaving:
             return
         self.is_leaving = is_leaving
-        self.policy.is_draining = is_leaving
+        self.policy.use_state(is_leaving=is_leaving)
         self.engine.is_draining = is_leaving
         self._audit("target leaving" if is_leaving else "target active", "patch")
 
@@ -224,6 +238,7 @@
         """Run until cancelled, inside a trio-asyncio loop."""
         host = PeerHost(
             dispatcher=self.dispatcher,
+            desk=self.desk,
             runner=self.runner,
             executor=self.executor,
             home=self.home,
@@ -283,7 +298,7 @@
         )
         await self.flows.close_all()
         await sleep(CLOSE_S if cut else 0)
-        await self.runner.aclose()
+        await self.target.aclose()
         self._audit("ended")
         self.sink.event(AGENT_STOPPED, flows_cut=cut)
 
