--- a/src/balsamtide/requests/exits.py
+++ b/src/balsamtide/requests/exits.py
@@ -114,7 +114,21 @@
         "ledger-full",
         NOT_RUN,
         503,
-        "The request got no claim, so nothing may start it.",
+        "A first try got no claim, so nothing may start it.",
+    )
+    LEDGER_FULL_FOR_REPEAT = (
+        Party.HOME,
+        "ledger-full-for-repeat",
+        MAY_HAVE_RUN,
+        409,
+        "A late earlier try could still get the claim that this one did not.",
+    )
+    SUPERSEDED = (
+        Party.HOME,
+        "superseded",
+        NOT_RUN,
+        409,
+        "A later try was refused as not run, and that holds for this one too.",
     )
     HOME_UNREACHABLE = (
         Party.HOME,
--- a/src/balsamtide/requests/home.py
+++ b/src/balsamtide/requests/home.py
@@ -222,7 +222,7 @@
         now: float,
     ) -> HomeDecision:
         identity = Identity(stamp.sequence, key)
-        claim = ledger.claim(identity, now)
+        claim = ledger.claim(identity, now, attempt=request.attempt)
         match claim:
             case Claim.GRANTED:
                 return RunHere(KeyedRun(ledger, identity, ledger.claims))
@@ -232,10 +232,14 @@
                 return Refuse(Exit.IN_PROGRESS.refusal())
             case Claim.FORGOTTEN:
                 return self._forgotten(request)
+            case Claim.SUPERSEDED:
+                return Refuse(Exit.SUPERSEDED.refusal())
             case Claim.CLOSED:
                 return Refuse(Exit.TENURE_CLOSED.refusal())
-            case Claim.FULL:
+            case Claim.FULL if request.attempt == 1:
                 return Refuse(Exit.LEDGER_FULL.refusal())
+            case Claim.FULL:
+                return Refuse(Exit.LEDGER_FULL_FOR_REPEAT.refusal())
 
     def _ask(self, stamp: Stamp) -> HomeDecision:
         announced = self.closures.get(stamp.tenure, stamp.target)
--- a/src/balsamtide/requests/ledger.py
+++ b/src/balsamtide/requests/ledger.py
@@ -4,6 +4,10 @@
 target, and *done* with its outcome.  Only ``claim`` on an unknown identity allows a
 run, so an identity runs at most once in the life of the ledger and of its image at a
 successor.
+
+A repeat that was refused leaves a *refused* entry behind: a late earlier try of the
+same identity is refused as well.  So ``NOT_RUN`` in answer to try *n* is true of all
+tries up to *n*.
 """
 
 from dataclasses import dataclass, replace
@@ -77,6 +81,7 @@
     CLAIMED = "claimed"
     STARTED = "started"
     DONE = "done"
+    REFUSED = "refused"
 
 
 class Claim(Enum):
@@ -86,6 +91,7 @@
     IN_PROGRESS = "in-progress"
     DONE = "done"
     FORGOTTEN = "forgotten"
+    SUPERSEDED = "superseded"
     CLOSED = "closed"
     FULL = "full"
 
@@ -100,20 +106,28 @@
         How far it has come.
     claim : int
         Number of the claim; a holder of an earlier claim can change nothing.
+    attempt : int
+        The try that claimed it.
     verdict : Verdict
         What is known of it; ``MAY_HAVE_RUN`` until its end is known.
     answer : RecordedAnswer or None
         The answer, if it was small enough to keep.
     expires_at : float
-        When a done entry may be dropped, seconds on the local clock.
+        When an ended entry may be dropped, seconds on the local clock.
     """
 
     state: EntryState
     claim: int = 0
+    attempt: int = 1
     verdict: Verdict = Verdict.MAY_HAVE_RUN
     answer: RecordedAnswer | None = None
     expires_at: float = float("inf")
 
+    @property
+    def is_ended(self) -> bool:
+        """Whether nothing is waiting or running under this entry."""
+        return self.state in (EntryState.DONE, EntryState.REFUSED)
+
 
 class ImageEntry(Struct, frozen=True, array_like=True):
     """One entry of a closed ledger on its way to the successor.
@@ -128,12 +142,15 @@
         The recorded answer.
     remaining_us : int
         Time until it may be dropped.
+    refused_attempt : int
+        The try up to which all are refused; 0 for a request that was started.
     """
 
     identity: Identity
     has_run: bool
     answer: RecordedAnswer | None
     remaining_us: int
+    refused_attempt: int = 0
 
 
 class LedgerImage(Struct, frozen=True, array_like=True):
@@ -182,6 +199,7 @@
         self.recorded: dict[Identity, int] = {}
         self.recorded_bytes = 0
         self.is_closed = False
+        self.is_exported = False
 
     @classmethod
     def from_image(
@@ -192,37 +210,68 @@
         ledger.watermark = image.watermark
         for item in image.entries:
             verdict = Verdict.RAN if item.has_run else Verdict.MAY_HAVE_RUN
+            is_refused = item.refused_attempt > 0
             ledger.entries[item.identity] = Entry(
-                state=EntryState.DONE,
-                verdict=verdict,
+                state=EntryState.REFUSED if is_refused else EntryState.DONE,
+                attempt=item.refused_attempt,
+                verdict=Verdict.NOT_RUN if is_refused else verdict,
                 answer=item.answer,
                 expires_at=now + item.remaining_us / US_PER_S,
             )
             ledger._account(item.identity, item.answer)
         return ledger
 
-    def claim(self, identity: Identity, now: float) -> Claim:
+    def claim(self, identity: Identity, now: float, *, attempt: int = 1) -> Claim:
         """Claim an identity for running; only ``GRANTED`` allows it.
 
         The claim that was granted has the number ``claims``.
         """
         entry = self.entries.get(identity)
         if entry is not None:
-            is_done = entry.state is EntryState.DONE
-            return Claim.DONE if is_done else Claim.IN_PROGRESS
-        if identity.sequence < self.watermark:
+            known = self._judge(entry, attempt)
+            if known is not Claim.GRANTED:
+                return known
+        elif identity.sequence < self.watermark:
             return Claim.FORGOTTEN
         if self.is_closed:
-            return Claim.CLOSED
-        if not self._make_room(now):
+            return self._claim_closed(identity, attempt, now)
+        if entry is None and not self._make_room(now):
             return Claim.FULL
         # Making room can raise the watermark above this very sequence.
-        if identity.sequence < self.watermark:
+        if entry is None and identity.sequence < self.watermark:
             return Claim.FORGOTTEN
         self.claims += 1
-        self.entries[identity] = Entry(state=EntryState.CLAIMED, claim=self.claims)
+        self.entries[identity] = Entry(
+            state=EntryState.CLAIMED,
+            claim=self.claims,
+            attempt=attempt,
+            expires_at=now + ENTRY_TTL_S,
+        )
         return Claim.GRANTED
 
+    @staticmethod
+    def _judge(entry: Entry, attempt: int) -> Claim:
+        match entry.state:
+            case EntryState.DONE:
+                return Claim.DONE
+            case EntryState.REFUSED:
+                is_late = attempt <= entry.attempt
+                return Claim.SUPERSEDED if is_late else Claim.GRANTED
+            case _:
+                return Claim.IN_PROGRESS
+
+    def _claim_closed(self, identity: Identity, attempt: int, now: float) -> Claim:
+        """Refuse a request at a closed ledger, as true as the image allows."""
+        if attempt == 1:
+            return Claim.CLOSED
+        if self.is_exported:
+            return Claim.FORGOTTEN
+        expires_at = now + ENTRY_TTL_S
+        self.entries[identity] = Entry(
+            state=EntryState.REFUSED, attempt=attempt, expires_at=expires_at
+        )
+        return Claim.CLOSED
+
     def _held(self, identity: Identity, claim: int, state: EntryState) -> Entry | None:
         entry = self.entries.get(identity)
         if entry is None or entry.claim != claim or entry.state is not state:
@@ -244,9 +293,15 @@
     def release(self, identity: Identity, claim: int) -> None:
         """Drop a claim or start that is certain not to have run."""
         entry = self.entries.get(identity)
-        if entry is None or entry.claim != claim or entry.state is EntryState.DONE:
+        if entry is None or entry.claim != claim or entry.is_ended:
             return
-        del self.entries[identity]
+        self._refuse(identity, entry)
+
+    def _refuse(self, identity: Identity, entry: Entry) -> None:
+        if entry.attempt == 1:
+            del self.entries[identity]
+        else:
+            self.entries[identity] = replace(entry, state=EntryState.REFUSED)
 
     def unstart(self, identity: Identity, claim: int) -> bool:
         """Take a start back after ``NOT_RUN``; False if the claim is gone too."""
@@ -254,7 +309,7 @@
         if entry is None:
             return False
         if self.is_closed:
-            del self.entries[identity]
+            self._refuse(identity, entry)
             return False
         self.entries[identity] = replace(entry, state=EntryState.CLAIMED)
         return True
@@ -308,8 +363,12 @@
         return sum(e.state is EntryState.STARTED for e in self.entries.values())
 
     def expire(self, now: float) -> None:
-        """Drop the done entries whose time is over, and remember that."""
-        old = [i for i, entry in self.entries.items() if now >= entry.expires_at]
+        """Drop the ended entries whose time is over, and remember that."""
+        old = [
+            identity
+            for identity, entry in self.entries.items()
+            if entry.is_ended and now >= entry.expires_at
+        ]
         for identity in old:
             self._forget(identity)
 
@@ -324,7 +383,7 @@
         self.expire(now)
         if len(self.entries) < self.capacity:
             return True
-        done = [i for i, e in self.entries.items() if e.state is EntryState.DONE]
+        done = [i for i, entry in self.entries.items() if entry.is_ended]
         if not done:
             return False
         done.sort()
@@ -335,27 +394,33 @@
     def close(self) -> None:
         """Start no keyed request any more; this can't be undone.
 
-        Claims that were not started are dropped: they never ran here.
+        Claims that were not started never run here.
         """
         self.is_closed = True
-        self.entries = {
-            identity: entry
+        waiting = [
+            (identity, entry)
             for identity, entry in self.entries.items()
-            if entry.state is not EntryState.CLAIMED
-        }
+            if entry.state is EntryState.CLAIMED
+        ]
+        for identity, entry in waiting:
+            self._refuse(identity, entry)
 
     def image(self, now: float) -> LedgerImage:
-        """Return the complete image of a closed ledger.
+        """Return the complete image of a closed ledger, once.
 
-        Requests still in progress are exported as ``MAY_HAVE_RUN``.
+        Requests still in progress are exported as ``MAY_HAVE_RUN``.  A second image
+        could reach a second successor, so there is none.
 
         Raises
         ------
         ValueError
-            If the ledger is not closed.
+            If the ledger is open or its image was taken.
         """
         if not self.is_closed:
             raise ValueError("an open ledger has no image")
+        if self.is_exported:
+            raise ValueError("the image was taken")
+        self.is_exported = True
         return LedgerImage(
             self.target,
             self.tenure,
@@ -371,4 +436,5 @@
             entry.verdict is Verdict.RAN,
             entry.answer,
             round(remaining * US_PER_S),
+            entry.attempt if entry.state is EntryState.REFUSED else 0,
         )
--- /dev/null
+++ b/tests/test_requests_at_most_once.py
@@ -0,0 +1,141 @@
+"""At most once and true refusals under faults, over many seeds."""
+
+from functools import partial
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from pytest import mark
+
+from balsamtide.protocol.verdict import Verdict
+from balsamtide.requests.ledger import Claim, Identity, Ledger, RecordedAnswer
+from bench.at_most_once_model import SERVICE, AtMostOnceModel, Faults
+from bench.measures.at_most_once import FAULTS, UnfencedHome, tally_seeds
+
+BATCH = 200
+
+
+@mark.parametrize("batch", range(6))
+def test_no_seed_doubles_or_refuses_falsely(batch):
+    """With all faults at once nothing runs twice and every verdict is true."""
+    first = 10_000 + batch * BATCH
+    tally = tally_seeds(range(first, first + BATCH), FAULTS)
+    assert (tally.doubled, tally.false_not_run, tally.false_ran) == (0, 0, 0)
+    assert tally.told.total() == BATCH * 30
+
+
+def test_checks_find_a_home_without_fence():
+    """The same run with a home that ignores tenures shows doubled requests."""
+    home = partial(UnfencedHome, SERVICE)
+    assert tally_seeds(range(20), FAULTS, make_home=home).doubled > 0
+
+
+@mark.parametrize(
+    ("faults", "most"),
+    [(Faults(refused=0, failed=0), 0), (Faults(stop_s=0.5), 0)],
+    ids=["calm", "planned stops"],
+)
+def test_planned_stops_leave_no_doubt(faults, most):
+    """Neither calm nor planned stops make a caller unsure."""
+    for seed in range(30):
+        told = AtMostOnceModel(seed, faults).run().told
+        assert told[Verdict.MAY_HAVE_RUN] <= most
+
+
+identities = st.builds(Identity, st.integers(1, 6), st.sampled_from(["a", "b"]))
+
+
+class LedgerMachine(RuleBasedStateMachine):
+    """A ledger, its successor, and holders of claims that act late or twice."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.ledgers = [Ledger(target=1, tenure=1, capacity=4)]
+        self.claims = []
+        self.runs = {}
+        self.refused = {}
+
+    @property
+    def ledger(self):
+        """The ledger that answers now."""
+        return self.ledgers[-1]
+
+    @rule(identity=identities, attempt=st.integers(1, 4), where=st.integers(0, 9))
+    def claim(self, identity, attempt, where):
+        """Let a request arrive, perhaps at a ledger that was closed long ago."""
+        ledger = self.ledgers[where % len(self.ledgers)]
+        claim = ledger.claim(identity, self.now, attempt=attempt)
+        if claim is Claim.GRANTED:
+            self.claims.append((ledger, identity, ledger.claims, attempt))
+        if claim in (Claim.SUPERSEDED, Claim.CLOSED) and attempt > 1:
+            self._refuse(identity, attempt)
+
+    def _refuse(self, identity, attempt):
+        assert identity not in self.runs
+        self.refused[identity] = max(attempt, self.refused.get(identity, 0))
+
+    @rule(index=st.integers(0, 99))
+    def start(self, index):
+        """Let a holder start, perhaps long after it lost its claim."""
+        if not self.claims:
+            return
+        ledger, identity, number, attempt = self.claims[index % len(self.claims)]
+        if ledger.start(identity, number):
+            assert identity not in self.runs, "ran twice"
+            assert attempt > self.refused.get(identity, 0), "ran after not-run"
+            self.runs[identity] = False
+
+    @rule(index=st.integers(0, 99), verdict=st.sampled_from(Verdict))
+    def finish(self, index, verdict):
+        """Let a holder report an end, perhaps of a claim that it lost."""
+        if not self.claims:
+            return
+        ledger, identity, number, attempt = self.claims[index % len(self.claims)]
+        entry = ledger.get(identity)
+        is_holder = entry is not None and entry.claim == number
+        if not is_holder or entry.state.value != "started":
+            return
+        ledger.finish(identity, number, verdict, RecordedAnswer(200, (), b""), self.now)
+        if verdict is Verdict.NOT_RUN:
+            del self.runs[identity]
+            if attempt > 1:
+                self._refuse(identity, attempt)
+
+    @rule(index=st.integers(0, 99))
+    def release(self, index):
+        """Let a holder give up a claim that it has not started."""
+        if not self.claims:
+            return
+        ledger, identity, number, attempt = self.claims[index % len(self.claims)]
+        entry = ledger.get(identity)
+        if entry and entry.claim == number and entry.state.value == "claimed":
+            ledger.release(identity, number)
+            if attempt > 1:
+                self._refuse(identity, attempt)
+
+    @rule(seconds=st.sampled_from([1.0, 700.0]))
+    def wait(self, seconds):
+        """Let time pass and entries expire."""
+        self.now += seconds
+        self.ledger.expire(self.now)
+
+    @rule()
+    def succeed(self):
+        """Let the ledger close and a successor take over."""
+        if len(self.ledgers) > 4:
+            return
+        self.ledger.close()
+        image = self.ledger.image(self.now)
+        self.ledgers.append(Ledger.from_image(image, self.now, capacity=4))
+
+    @invariant()
+    def is_bounded(self):
+        """Check that the open ledger holds no more than its capacity."""
+        assert len(self.ledger.entries) <= 4
+
+
+LedgerMachine.TestCase.settings = settings(
+    max_examples=300, stateful_step_count=40, deadline=None, derandomize=True
+)
+TestLedger = LedgerMachine.TestCase
--- a/tests/test_requests_home.py
+++ b/tests/test_requests_home.py
@@ -206,6 +206,8 @@
         Exit.TENURE_CLOSED.refusal()
     )
     image = old.ledger.image(0.0)
+    with raises(ValueError, match="was taken"):
+        old.ledger.image(0.0)
     assert new.adopt(image, 0.0)
     assert not new.adopt(image, 0.0)
     assert new.decide(REPEAT, OWN, 1.0) == Replay(ANSWER)
