--- a/src/balsamtide/caller/caller.py
+++ b/src/balsamtide/caller/caller.py
@@ -167,26 +167,53 @@
         body: bytes = b"",
         timeout_s: float = 10.0,
     ) -> AsyncIterator[StreamedAnswer]:
-        """Send one request, without retries, and read its answer part by part.
+        """Send one request and read its answer part by part.
 
+        A try that did not run is repeated; nothing is, once the answer has begun.
         ``timeout_s`` is for the start of the answer.
+
+        Raises
+        ------
+        CallerError
+            If the answer did not begin, or broke off.
         """
-        deadline = current_time() + timeout_s
         call = Call(
             method=method,
             path=path,
             headers=headers,
             body=body,
             key=None,
-            deadline=deadline,
+            deadline=current_time() + timeout_s,
         )
-        flow = await self._flow(deadline)
-        pending = await flow.open_request(self._head(call, 1, b""), body)
+        flow, pending, answer = await self._open_stream(call)
         try:
-            yield await self._await_head(pending, deadline)
+            yield answer
         finally:
             flow.cancel_request(pending)
 
+    async def _open_stream(
+        self, call: Call
+    ) -> tuple[CallerFlowTask, PendingRequest, StreamedAnswer]:
+        self.budget.first_try()
+        attempt = 1
+        while True:
+            try:
+                flow = await self._flow(call.deadline)
+                headers = self._head(call, attempt, b"")
+                pending = await flow.open_request(headers, call.body)
+                answer = await self._await_head(pending, call.deadline)
+            except CallerError as error:
+                if not self._may_repeat(call, error.verdict, attempt):
+                    raise
+                await self._back_off(attempt, call.deadline, b"")
+                attempt += 1
+                continue
+            if not self._must_repeat(call, answer, attempt):
+                return flow, pending, answer
+            flow.cancel_request(pending)
+            await self._back_off(attempt, call.deadline, answer.retry_after_ms)
+            attempt += 1
+
     # Tries
 
     async def _try_repeatedly(self, call: Call) -> Answer:
@@ -205,17 +232,23 @@
                 failures.append(RequestError(error.verdict, error.reason))
                 if not self._may_repeat(call, error.verdict, attempt):
                     break
-                await self._back_off(attempt, call.deadline, None)
+                await self._back_off(attempt, call.deadline, b"")
                 continue
             if answer.status == STATUS_STAMP_REQUIRED and sent == 0:
                 self.stamps[id(flow)] = answer.header(STAMP)
                 continue
-            must_wait = answer.verdict is Verdict.NOT_RUN and answer.status >= 500
-            if not must_wait or not self._may_repeat(call, answer.verdict, attempt):
+            if not self._must_repeat(call, answer, attempt):
                 return answer
-            await self._back_off(attempt, call.deadline, answer)
+            said = answer.header(RETRY_AFTER_MS)
+            await self._back_off(attempt, call.deadline, said)
         raise AttemptsFailed(f"{call.method} {call.path} failed", failures)
 
+    def _must_repeat(
+        self, call: Call, answer: Answer | StreamedAnswer, attempt: int
+    ) -> bool:
+        is_refused = answer.verdict is Verdict.NOT_RUN and answer.status >= 500
+        return is_refused and self._may_repeat(call, answer.verdict, attempt)
+
     def _may_repeat(self, call: Call, verdict: Verdict, attempt: int) -> bool:
         # A keyed repeat is safe after any verdict: its home runs it at most once.
         is_safe = verdict.is_retry_safe(is_idempotent=call.is_idempotent)
@@ -226,10 +259,7 @@
             verdict, is_idempotent=True, now=current_time(), deadline=call.deadline
         )
 
-    async def _back_off(
-        self, attempt: int, deadline: float, answer: Answer | None
-    ) -> None:
-        said = answer.header(RETRY_AFTER_MS) if answer is not None else b""
+    async def _back_off(self, attempt: int, deadline: float, said: bytes) -> None:
         least = int(said) / 1000 if said.isdigit() else 0.0
         longest = min(LONGEST_BACKOFF_S, FIRST_BACKOFF_S * 2**attempt)
         pause = least + self.random.uniform(0, longest)
--- a/src/balsamtide/telemetry/baseline.py
+++ b/src/balsamtide/telemetry/baseline.py
@@ -7,12 +7,12 @@
 from balsamtide.telemetry.stages import Stage
 from balsamtide.telemetry.summary import Group, GroupSummary
 
-__all__ = ["Baseline", "Excess"]
+__all__ = ["USUAL_SLOW_SHARES", "Baseline", "Excess"]
 
 MIN_TARGET_REQUESTS = 100
 MIN_ROUTE_REQUESTS = 30
 MIN_SLOW_S = 0.002
-USUAL_SLOW_SHARE = 0.01
+USUAL_SLOW_SHARES = (0.001, 0.01, 0.1, 0.3)
 SLOW_RATIO = 1.25
 MIN_MEAN_S = 0.001
 
@@ -72,15 +72,20 @@
         seconds = sum(cells.seconds for cells in self.group.stages.values())
         return seconds / self.group.count
 
+    def stage_mean_s(self, stage: Stage) -> float:
+        """Return the mean time in ``stage``, seconds."""
+        cells = self.group.stages.get(stage)
+        return cells.seconds / self.group.count if cells else 0.0
+
     def stage_counts(self, stage: Stage) -> Sequence[int]:
         """Return the bucket counts of ``stage``."""
         cells = self.group.stages.get(stage)
         return cells.counts if cells else (0,) * BUCKETS
 
-    def slow_bucket(self, stage: Stage) -> int:
-        """Return the first bucket that is unusual for ``stage``."""
+    def slow_bucket(self, stage: Stage, usual_share: float) -> int:
+        """Return the first bucket that at most ``usual_share`` of requests reach."""
         counts = self.stage_counts(stage)
-        allowed = USUAL_SLOW_SHARE * self.group.count
+        allowed = usual_share * self.group.count
         above = 0
         bucket = BUCKETS - 1
         while bucket > 0 and above + counts[bucket] <= allowed:
@@ -89,10 +94,14 @@
         usual_s = lower_bound_s(bucket) * SLOW_RATIO
         return min(bucket_of(max(usual_s, MIN_SLOW_S)) + 1, BUCKETS - 1)
 
-    def excess(self, recent: GroupSummary, stage: Stage) -> Excess:
-        """Compare ``recent`` with this reference in one stage."""
-        first = self.slow_bucket(stage)
-        base = lower_bound_s(first) / SLOW_RATIO
+    def excess(self, recent: GroupSummary, stage: Stage, usual_share: float) -> Excess:
+        """Compare ``recent`` with this reference in one stage.
+
+        Requests count as slow from a duration that ``usual_share`` of the earlier
+        ones reached.
+        """
+        first = self.slow_bucket(stage, usual_share)
+        usual_s = self.stage_mean_s(stage)
         before = [(bucket, n) for bucket, n in enumerate(self.stage_counts(stage))]
         now = [
             (item.bucket, item.count)
@@ -103,7 +112,8 @@
         size = self.group.count
         share = (_slow_count(before, first) + 0.5) / (size + 1)
         scale = recent.count / size
-        seconds = _lost_s(now, first, base) - scale * _lost_s(before, first, base)
+        seconds = _lost_s(now, first, usual_s)
+        seconds -= scale * _lost_s(before, first, usual_s)
         return Excess(
             count=_slow_count(now, first) - recent.count * share,
             variance=recent.count * share * (1 + scale),
@@ -148,9 +158,9 @@
     return sum(number for bucket, number in counts if bucket >= first)
 
 
-def _lost_s(counts: Iterable[tuple[int, int]], first: int, base: float) -> float:
+def _lost_s(counts: Iterable[tuple[int, int]], first: int, usual_s: float) -> float:
     return sum(
-        number * (lower_bound_s(bucket) - base)
+        number * (lower_bound_s(bucket) - usual_s)
         for bucket, number in counts
         if bucket >= first
     )
