--- a/src/balsamtide/cli/application.py
+++ b/src/balsamtide/cli/application.py
@@ -15,6 +15,7 @@
 from balsamtide.cli.errors import CommandError, ExitCode
 from balsamtide.cli.patch_commands import PatchCheckCommand, PatchDiffCommand
 from balsamtide.cli.request_commands import ExplainCommand, SlowCommand
+from balsamtide.cli.settings_commands import SettingsCheckCommand
 from balsamtide.cli.status_commands import (
     ConfigurationCommand,
     StatusCommand,
@@ -78,6 +79,7 @@
         MetricsListCommand(transport),
         PatchCheckCommand(transport),
         PatchDiffCommand(transport),
+        SettingsCheckCommand(transport),
         SlowCommand(transport),
         StatusCommand(transport),
         VersionWaitCommand(transport),
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -11,6 +11,7 @@
 from balsamtide.cli.application import ControlApplication
 from balsamtide.cli.errors import ExitCode
 from bench.standins.request_records import make_fault, summarise
+from examples.make_keys import write_keys
 from tests.fakes_admin import CONFIGURATION, make_admin, run_command
 
 COMMANDS = sorted(
@@ -18,6 +19,7 @@
     for name in ControlApplication().all()
     if name not in ("help", "list", "completions")
 )
+EXAMPLE = Path(__file__).resolve().parent.parent / "examples" / "balancer.ini"
 STATE = "/services/timetable/targets/timetable-1/state"
 DRAIN = f'[{{"op":"replace","path":"{STATE}","value":"%s"}}]'
 
@@ -188,3 +190,31 @@
     assert "started &lt;now&gt;" in text
     assert "<script" not in text
     assert "http" not in text
+
+
+@pytest.mark.parametrize(
+    ("change", "code", "expected"),
+    [
+        (("", ""), ExitCode.OK, "valid settings of the balancer"),
+        (("zone = zone-a", "zone = "), ExitCode.INVALID, "zone"),
+        (("7103", "70000"), ExitCode.INVALID, "admin"),
+    ],
+)
+@pytest.mark.parametrize("is_json", [True, False])
+def test_settings_check_lists_all_problems(
+    tmp_path: Path,
+    change: tuple[str, str],
+    code: ExitCode,
+    expected: str,
+    is_json: bool,
+) -> None:
+    """A settings file is checked as the daemon does, with the files it names."""
+    write_keys(tmp_path / "keys")
+    file = tmp_path / "balancer.ini"
+    file.write_text(EXAMPLE.read_text().replace(*change))
+    run = run_command(f"settings check {file}" + " --json" * is_json)
+    assert run.code == code
+    if is_json:
+        assert decode(run.output)["is_valid"] is (code == ExitCode.OK)
+    else:
+        assert expected in run.output
