--- a/src/balsamtide/telemetry/cause.py
+++ b/src/balsamtide/telemetry/cause.py
@@ -226,8 +226,11 @@
                 slowdown=0.0,
             )
             if _is_failure(excess):
+                is_silent = reason in SILENT_REASONS
                 yield Finding(
-                    kind=CauseKind.FAILURES,
+                    kind=(
+                        CauseKind.SILENT_CONNECTION if is_silent else CauseKind.FAILURES
+                    ),
                     stage=None,
                     scope=Scope(ScopeKind.SERVICE),
                     share=min(1.0, excess.count / self.requests),
--- a/tests/test_telemetry_log.py
+++ b/tests/test_telemetry_log.py
@@ -4,6 +4,8 @@
 
 import pytest
 from msgspec.json import decode
+from trio import current_time, move_on_after, run
+from trio.testing import MockClock
 
 from balsamtide.telemetry.audit import AuditTrail
 from balsamtide.telemetry.event import Event, Level, Metric, MetricKind
@@ -101,6 +103,23 @@
     assert [line.fields["repeats"] for line in suppressed] == repeats
 
 
+def test_running_telemetry_reports_repeats_of_a_burst() -> None:
+    """Repeats of a burst are reported although the event does not occur again."""
+    telemetry = make_telemetry()
+    telemetry.event_log.clock = current_time
+    recorded: list[int] = []
+
+    async def main() -> None:
+        for _ in range(9):
+            telemetry.event(PROBE)
+        with move_on_after(25):
+            await telemetry.run()
+        recorded.extend(line.number for line in telemetry.event_log.recent)
+
+    run(main, clock=MockClock(autojump_threshold=0))
+    assert recorded == [798] * 5 + [701]
+
+
 def test_one_event_does_not_suppress_another() -> None:
     """Repeats are limited for each event by itself."""
     telemetry = make_telemetry()
--- a/tests/test_telemetry_requests.py
+++ b/tests/test_telemetry_requests.py
@@ -214,22 +214,29 @@
     assert "too few requests" in diagnosis.sentence
 
 
-def test_refusals_without_lost_time_are_named() -> None:
+@pytest.mark.parametrize(
+    ("reason", "kind"),
+    [
+        ("queue-full", CauseKind.FAILURES),
+        ("target-timeout", CauseKind.SILENT_CONNECTION),
+    ],
+)
+def test_failures_without_lost_time_are_named(reason: str, kind: CauseKind) -> None:
     """Attempts that fail at once are reported with their reason."""
     clock = FakeClock()
     log = make_log(clock)
     for number in range(400):
         clock.now = 3.0 * number
-        is_refused = number >= 380
+        is_failed = number >= 380
         log.add(
             make_record(
                 f"r{number}",
-                status=503 if is_refused else 200,
-                attempts=("t-1 not-run queue-full",) if is_refused else (),
+                status=503 if is_failed else 200,
+                attempts=(f"t-1 not-run {reason}",) if is_failed else (),
             )
         )
     finding = diagnose(log.summary(SERVICE)).findings[0]
-    assert (finding.kind, finding.reason) == (CauseKind.FAILURES, "queue-full")
+    assert (finding.kind, finding.reason) == (kind, reason)
 
 
 def test_silent_reasons_are_those_of_requests() -> None:
