--- a/src/balsamtide/cli/request_commands.py
+++ b/src/balsamtide/cli/request_commands.py
@@ -87,6 +87,8 @@
         "balsamctl slow --service timetable",
         "balsamctl slow --service timetable --html slow.html",
         "balsamctl slow --service timetable --json",
+        "balsamctl slow --service timetable --service export --html slow.html "
+        "--admin http://10.0.1.7:9180 --admin http://10.0.2.9:9180",
     )
 
     def handle(self) -> int:
@@ -109,18 +111,21 @@
         return ExitCode.OK
 
     def _summary(self, service: str) -> Summary:
-        summary = self.client.summary(service)
-        if not summary.recent and not summary.baseline:
-            raise CommandError(
-                f"no requests of service {service} are known there",
-                hint="name an agent of that service with --admin; 'balsamctl status' "
-                "shows which service an agent has",
-                code=ExitCode.NOT_FOUND,
-            )
-        return summary
+        for client in self.clients:
+            summary = client.summary(service)
+            if summary.recent or summary.baseline:
+                return summary
+        raise CommandError(
+            f"no requests of service {service} are known there",
+            hint="name an agent of that service with --admin; 'balsamctl status' "
+            "shows which service an agent has",
+            code=ExitCode.NOT_FOUND,
+        )
 
     def _write_page(self, path: Path, reports: list[SlowReport]) -> None:
-        page = render_page(reports, self.client.audit())
+        changes = [entry for client in self.clients for entry in client.audit()]
+        changes.sort(key=lambda entry: entry.seconds)
+        page = render_page(reports, changes)
         try:
             path.write_text(page, encoding="utf-8")
         except OSError as error:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -33,6 +33,7 @@
         ("explain r1", "30.0 ms 75%"),
         ("explain r1", "attempt 1: timetable-2 not-run full"),
         ("slow --service timetable", "too few requests to compare"),
+        ("slow --service timetable --admin http://a --admin http://b", "few requests"),
         ("audit", "started <now>"),
         ("audit --kind drain --since 2020-01-01", "drain"),
         ("events --number 799", "peer=agent-2"),
