--- a/tests/test_telemetry_query_rpc.py
+++ b/tests/test_telemetry_query_rpc.py
@@ -8,15 +8,20 @@
 import pytest
 import trio
 from grpclib.server import Server
+from httpx import AsyncClient
+from msgspec.json import decode
 from trio_asyncio import aio_as_trio, open_loop
 
 from balsamtide.protocol.messages import Endpoint
 from balsamtide.protocol.rpc import RpcCodec
+from balsamtide.telemetry.admin import AdminApplication, serve_admin
 from balsamtide.telemetry.events import PEER_SILENT
 from balsamtide.telemetry.memory_sink import MemorySink
 from balsamtide.telemetry.query_rpc import Peer, PeerQuery, TelemetryService
 from balsamtide.telemetry.request_log import RequestLog
-from tests.fakes_telemetry import FakeClock, make_record
+from balsamtide.telemetry.status import Status
+from balsamtide.telemetry.summary import Summary
+from tests.fakes_telemetry import FakeClock, make_record, make_telemetry
 
 DEADLINE_S = 0.3
 
@@ -28,6 +33,19 @@
     return log
 
 
+def make_status() -> Status:
+    """Return the status of an agent."""
+    return Status(
+        instance="self",
+        role="agent",
+        region="doto",
+        zone="doto-a",
+        state="ready",
+        version=7,
+        entry=7,
+    )
+
+
 def listen() -> make_socket:
     """Return a listening socket on loopback."""
     listener = make_socket(AF_INET, SOCK_STREAM)
@@ -105,3 +123,31 @@
             assert (view.agent if view else None) == agent
 
     trio.run(main)
+
+
+def test_admin_listener_asks_the_peers() -> None:
+    """One HTTP question to an agent is answered for all agents of its service."""
+
+    async def main() -> None:
+        async with (
+            query(("agent-2",), ("agent-4",), MemorySink()) as peers,
+            trio.open_nursery() as nursery,
+        ):
+            application = AdminApplication(
+                make_telemetry(),
+                status=make_status,
+                ask_summary=peers.summary,
+                ask_request=peers.request,
+            )
+            endpoint = Endpoint("127.0.0.1", 0)
+            urls = await nursery.start(serve_admin, application, endpoint)
+            async with AsyncClient(base_url=urls[0], trust_env=False) as client:
+                answer = await client.get("/summary?service=timetable&peers=1")
+                found = await client.get("/requests/agent-2")
+            summary = decode(answer.content, type=Summary)
+            assert summary.instances == ("agent-2", "self")
+            assert summary.silent == ("agent-4",)
+            assert found.json()["agent"] == "agent-2"
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
