Test any two failures on the whole path from the records of both ends

Change: streams and keyed marks run through real balancers and agents while each pair out of six failures happens, any of them twice included; verdicts told to callers are compared with what targets ran. A drained target is watched past the bound.

--- /dev/null
+++ b/tests/test_failures_path.py
@@ -0,0 +1,182 @@
+"""Any two failures on the whole path, judged by callers' and targets' own records."""
+
+from dataclasses import dataclass, field
+from itertools import combinations_with_replacement
+
+from pytest import mark
+from trio import current_time, fail_after, open_nursery, run, sleep
+
+from balsamtide.caller import CallerError
+from balsamtide.protocol.messages import PatchOperation
+from balsamtide.protocol.verdict import Verdict
+from balsamtide.requests.errors import AttemptsFailed
+from bench.standins.deployment import Deployment
+from tests.test_path import calling, running
+
+NEW_WORK_BOUND_S = 3.0
+RUN_S = 60.0
+PARTS = 30
+MARK_PAUSE_S = 0.05
+FAILURE_PAUSE_S = 0.3
+SILENCE_S = 0.5
+
+
+@dataclass(slots=True)
+class Observed:
+    """What the callers saw."""
+
+    whole_streams: int = 0
+    broken: list[str] = field(default_factory=list)
+    verdicts: dict[str, Verdict] = field(default_factory=dict)
+
+
+async def stream(deployment, seen):
+    """Read one long answer to its end."""
+    async with calling(deployment, "quick") as caller:
+        try:
+            async with caller.stream("GET", f"/watch?n={PARTS}") as answer:
+                body = b"".join([part async for part in answer.parts()])
+        except CallerError as error:
+            seen.broken.append(repr(error))
+            return
+    expected = b"".join(b"part %d\n" % n for n in range(PARTS))
+    if body == expected:
+        seen.whole_streams += 1
+    else:
+        seen.broken.append(f"{len(body)} octets")
+
+
+async def mark_until(deployment, seen, name, is_over):
+    """Send marks one after the other and note their verdicts."""
+    number = 0
+    async with calling(deployment, "quick") as caller:
+        while not is_over():
+            key = f"{name}-{number}"
+            number += 1
+            try:
+                answer = await caller.request(
+                    "POST", "/mark", body=key.encode(), idempotency_key=key
+                )
+            except AttemptsFailed as failed:
+                seen.verdicts[key] = failed.verdict
+            except CallerError as error:
+                seen.verdicts[key] = error.verdict
+            else:
+                seen.verdicts[key] = answer.verdict
+                if answer.status == 200:
+                    assert answer.body == key.encode()
+            await sleep(MARK_PAUSE_S)
+
+
+async def kill_balancer(deployment: Deployment):
+    """Kill one balancer and start another."""
+    deployment.kill_balancer(next(iter(deployment.balancers)))
+    await deployment.add_balancer()
+
+
+async def stop_balancer(deployment: Deployment):
+    """Stop one balancer as planned after another was started."""
+    name = next(iter(deployment.balancers))
+    await deployment.add_balancer()
+    deployment.stop_balancer(name)
+
+
+async def drain_target(deployment: Deployment):
+    """Publish a patch that drains a target."""
+    path = "/services/quick/targets/quick-1/state"
+    await deployment.publish((PatchOperation("add", path, "draining"),))
+
+
+async def replace_agent(deployment: Deployment):
+    """Replace an agent as planned."""
+    await deployment.replace_agent("quick-2")
+
+
+async def silence_target(deployment: Deployment):
+    """Let a target accept requests and not answer for a while."""
+    target = deployment.agents["quick-2"].target
+    target.is_silent = True
+    await sleep(SILENCE_S)
+    target.is_silent = False
+
+
+async def stop_platform(deployment: Deployment):
+    """Let the platform fail for the rest of the run."""
+    deployment.platform.is_down = True
+
+
+FAILURES = {
+    "balancer-dies": kill_balancer,
+    "balancer-stops": stop_balancer,
+    "target-drains": drain_target,
+    "agent-replaced": replace_agent,
+    "target-silent": silence_target,
+    "platform-down": stop_platform,
+}
+
+
+@mark.parametrize(
+    ("first", "second"),
+    list(combinations_with_replacement(FAILURES, 2)),
+    ids="-and-".join,
+)
+def test_any_two_failures_keep_every_promise(tmp_path, first, second):
+    """Streams arrive whole, marks run at most once and refusals did not run."""
+    seen = Observed()
+
+    async def scenario():
+        async with running(tmp_path) as deployment:
+            await _drive(deployment, seen, first, second)
+            _check(deployment, seen)
+
+    async def bounded():
+        with fail_after(RUN_S):
+            await scenario()
+
+    run(bounded)
+
+
+async def _drive(deployment, seen, first, second):
+    is_done = False
+    async with open_nursery() as nursery:
+        for name in ("a", "b"):
+            nursery.start_soon(stream, deployment, seen)
+            nursery.start_soon(mark_until, deployment, seen, name, lambda: is_done)
+        await sleep(FAILURE_PAUSE_S)
+        await FAILURES[first](deployment)
+        await FAILURES[second](deployment)
+        await sleep(FAILURE_PAUSE_S)
+        is_done = True
+
+
+def _check(deployment, seen):
+    record = deployment.records["quick"]
+    assert seen.broken == [], "broken flows"
+    assert seen.whole_streams == 2
+    assert record.foreign == 0
+    assert seen.verdicts
+    for key, verdict in seen.verdicts.items():
+        runs = record.keys[key]
+        assert runs <= 1, f"at_most_once: {key} ran {runs} times"
+        assert verdict is not Verdict.NOT_RUN or runs == 0, f"not_run_holds: {key}"
+        assert verdict is not Verdict.RAN or runs == 1, f"answered but not run: {key}"
+
+
+def test_draining_target_gets_no_new_work(tmp_path):
+    """After the bound nothing starts on a target whose drain was published."""
+
+    async def scenario():
+        seen = Observed()
+        async with running(tmp_path) as deployment, open_nursery() as nursery:
+            is_done = False
+            nursery.start_soon(mark_until, deployment, seen, "a", lambda: is_done)
+            await sleep(FAILURE_PAUSE_S)
+            await drain_target(deployment)
+            drained_at = current_time()
+            await sleep(NEW_WORK_BOUND_S + 1.0)
+            is_done = True
+            target = deployment.agents["quick-1"].target
+            assert target.last_started < drained_at + NEW_WORK_BOUND_S
+            assert Verdict.RAN in seen.verdicts.values()
+
+    run(scenario)
