--- a/src/balsamtide/agent/agent.py
+++ b/src/balsamtide/agent/agent.py
@@ -1,5 +1,6 @@
 """The role agent: it waits for its target's configuration, then works for it."""
 
+from collections.abc import Sequence
 from random import Random
 
 from trio import (
@@ -45,6 +46,8 @@
         Read access to the platform.
     random : Random
         Source of every random choice.
+    extra_services : sequence of object
+        Further RPC services that the agent serves.
     """
 
     def __init__(
@@ -54,12 +57,14 @@
         sink: Sink,
         platform: PlatformPort,
         random: Random,
+        extra_services: Sequence[object] = (),
     ) -> None:
         assert settings.agent is not None
         self.settings = settings
         self.own_settings = settings.agent
         self.sink = sink
         self.random = random
+        self.extra_services = extra_services
         self.leases = BalancerLeases()
         self.node = Node(
             settings,
@@ -91,6 +96,13 @@
             self.node.close()
             self.stopped.set()
 
+    @property
+    def state(self) -> str:
+        """What the agent is ready for, as in load reports."""
+        if self.work is None:
+            return "starting"
+        return self.work.policy.report(current_time()).state
+
     def _use_configuration(self, held: Held, now: float) -> None:
         self._use_balancers()
         if self.work is None:
@@ -118,6 +130,7 @@
             leases=self.leases,
             random=self.random,
             sink=self.sink,
+            extra_services=self.extra_services,
         )
         self.nursery.start_soon(self.work.run)
         self.sink.event(
--- a/src/balsamtide/agent/work.py
+++ b/src/balsamtide/agent/work.py
@@ -1,6 +1,6 @@
 """What an agent runs once it knows its target."""
 
-from collections.abc import Callable
+from collections.abc import Sequence
 from random import Random
 
 from trio import (
@@ -77,8 +77,8 @@
         Source of every random choice.
     sink : Sink
         Events, counts and audit trail.
-    extra_services : callable
-        Returns further RPC services to serve.
+    extra_services : sequence of object
+        Further RPC services to serve.
     """
 
     def __init__(
@@ -90,7 +90,7 @@
         leases: BalancerLeases,
         random: Random,
         sink: Sink,
-        extra_services: Callable[[], list[object]] = list,
+        extra_services: Sequence[object] = (),
     ) -> None:
         assert settings.agent is not None
         self.settings = settings
@@ -247,7 +247,7 @@
         try:
             async with (
                 serve_rpc(
-                    [*services, *self.extra_services()],
+                    [*services, *self.extra_services],
                     self.settings.rpc,
                     ssl=server_context(self.settings.rpc_tls),
                 ),
