--- a/src/balsamtide/membership/journal.py
+++ b/src/balsamtide/membership/journal.py
@@ -61,17 +61,17 @@
         change = f"{mark.kind} claimed"
         self.audit("mark", mark.subject, change, cause=cause, actor=mark.observer)
 
-    def update_beliefs(self, beliefs: dict[str, str]) -> None:
-        """Record what is newly believed and what is believed no longer."""
-        if beliefs == self.beliefs:
+    def note_belief(self, subject: str, kind: str | None) -> None:
+        """Record what is now believed of ``subject``, if that is new."""
+        before = self.beliefs.get(subject)
+        if kind == before:
             return
-        for subject, kind in beliefs.items():
-            if self.beliefs.get(subject) != kind:
-                self.event(MARK_BELIEVED, subject=subject, kind=kind)
-                self.audit("mark", subject, f"{kind} believed", actor=self.own_name)
-        for subject, kind in self.beliefs.items():
-            if subject not in beliefs:
-                self.event(MARK_EXPIRED, subject=subject, kind=kind)
-                self.audit("mark", subject, f"{kind} ended", actor=self.own_name)
-        self.beliefs = beliefs
-        self.sink.gauge(MARKS_BELIEVED, len(beliefs))
+        if kind is None:
+            del self.beliefs[subject]
+            self.event(MARK_EXPIRED, subject=subject, kind=before)
+            self.audit("mark", subject, f"{before} ended", actor=self.own_name)
+        else:
+            self.beliefs[subject] = kind
+            self.event(MARK_BELIEVED, subject=subject, kind=kind)
+            self.audit("mark", subject, f"{kind} believed", actor=self.own_name)
+        self.sink.gauge(MARKS_BELIEVED, len(self.beliefs))
--- a/src/balsamtide/membership/liveness.py
+++ b/src/balsamtide/membership/liveness.py
@@ -203,7 +203,7 @@
         return [
             witness
             for zone in sorted(zones)
-            if self._is_zone_silent(zone, now)
+            if self._zone_silence_s(zone, now) >= self.limits.heartbeat_period_s
             for witness in self.peers.witnesses(zone, ZONE_WITNESSES, self.partners)
         ]
 
@@ -217,8 +217,18 @@
         return [self._heartbeat(witness) for witness in witnesses]
 
     def _is_zone_silent(self, zone: str, now: float) -> bool:
-        heard = self.zones_heard.get(zone, float("-inf"))
-        return now - heard >= self.limits.heartbeat_lease_s
+        return self._zone_silence_s(zone, now) >= self.limits.heartbeat_lease_s
+
+    def _zone_silence_s(self, zone: str, now: float) -> float:
+        return now - self.zones_heard.get(zone, float("-inf"))
+
+    def _is_zone_doubtful(self, partner: Partner, now: float) -> bool:
+        """Tell whether the silence may turn out to be that of the whole zone."""
+        if not self._is_foreign(partner):
+            return False
+        silence_s = self._zone_silence_s(partner.instance.zone, now)
+        longest_s = self.limits.heartbeat_period_s + self.limits.probe_period_s
+        return longest_s < silence_s < self.limits.heartbeat_lease_s
 
     def _judge(self, witnesses: list[Instance], now: float) -> list[Mark]:
         watched = [self._watched(each, now) for each in self.partners.values()]
@@ -261,9 +271,14 @@
         return [
             mark
             for subject, incarnation in subjects.items()
+            if not self._is_postponed(subject, now)
             for mark in self._claim_one(subject, incarnation, now)
         ]
 
+    def _is_postponed(self, subject: str, now: float) -> bool:
+        partner = self.partners.get(subject)
+        return partner is not None and self._is_zone_doubtful(partner, now)
+
     def _claim_one(self, subject: str, incarnation: int, now: float) -> list[Mark]:
         """Return a claim when its delay is over, and again to renew it."""
         due = self.claims.setdefault(subject, now + self.limits.suspicion_delay_s)
--- a/src/balsamtide/membership/marks.py
+++ b/src/balsamtide/membership/marks.py
@@ -170,14 +170,15 @@
         if not held:
             del self.claims[claim.subject]
 
-    def expire(self, now: float) -> bool:
-        """Drop expired claims and tell whether there were any."""
+    def expire(self, now: float) -> set[str]:
+        """Drop expired claims and return their subjects."""
         if now < self.next_expiry:
-            return False
-        for claim in [claim for claim in self if claim.deadline <= now]:
+            return set()
+        expired = [claim for claim in self if claim.deadline <= now]
+        for claim in expired:
             self._remove(claim)
         self.next_expiry = min((claim.deadline for claim in self), default=float("inf"))
-        return True
+        return {claim.subject for claim in expired}
 
     def belief(self, subject: str, now: float) -> str | None:
         """Return ``"leaving"``, ``"suspect"`` or None for ``subject``."""
@@ -208,11 +209,6 @@
         ]
         return len(others) >= self.limits.kept_observers
 
-    def beliefs(self, now: float) -> dict[str, str]:
-        """Return all subjects that are believed to be leaving or suspect."""
-        found = {subject: self.belief(subject, now) for subject in self.claims}
-        return {subject: kind for subject, kind in found.items() if kind is not None}
-
     def digest(self) -> bytes:
         """Return a hash over all claims, independent of their order."""
         return self.fingerprint.to_bytes(8, "big")
--- a/src/balsamtide/membership/membership.py
+++ b/src/balsamtide/membership/membership.py
@@ -1,6 +1,6 @@
 """Membership of one process: the composite that daemons and embedders drive."""
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from random import Random
 
 from balsamtide.config.model import Target
@@ -233,7 +233,8 @@
         sends = self.epidemic.receive_entries(push, fresh, source=source, now=now)
         sends += self._announce(announcements)
         sends += self._refute(fresh, now)
-        self._after_change(now)
+        self._note_beliefs({mark.subject for mark in fresh}, now)
+        self._regroup(now)
         return sends
 
     def entries_arrived(self, now: float) -> Sequence[Send]:
@@ -258,7 +259,7 @@
         """Do what is due at ``now`` and return what to send."""
         self.now = now
         self.lateness.staleness(now)
-        is_changed = self.table.expire(now)
+        self._note_beliefs(self.table.expire(now), now)
         sends = self.epidemic.tick(now)
         if now >= self.observer.deadline:
             observation = self.observer.tick(now)
@@ -267,8 +268,6 @@
             sends += self._tick_reader(now)
         if now >= self.next_leaving:
             sends += self._repeat_leaving(now)
-        if is_changed:
-            self._after_change(now)
         return self._counted(sends)
 
     def _tick_reader(self, now: float) -> list[Send]:
@@ -309,7 +308,7 @@
             return []
         for mark in fresh:
             self.journal.made(mark, cause)
-        self._after_change(now)
+        self._note_beliefs({mark.subject for mark in fresh}, now)
         return self.epidemic.publish(fresh, now)
 
     def _refute(self, marks: Sequence[Mark], now: float) -> list[Send]:
@@ -360,7 +359,7 @@
         mark = self._own_leaving_mark()
         if self.table.merge(mark, now=now):
             self.journal.made(mark, "stopping")
-            self._after_change(now)
+            self._note_beliefs([mark.subject], now)
         self.leaving_rounds = max(0, self.leaving_rounds - 1)
         wait_s = LEAVING_ROUND_S if self.leaving_rounds else self.limits.leaving_s / 3
         self.next_leaving = now + wait_s
@@ -371,9 +370,9 @@
         told = {send.destination for send in sends}
         return sends + [Send(each, push) for each in partners if each not in told]
 
-    def _after_change(self, now: float) -> None:
-        self.journal.update_beliefs(self.table.beliefs(now))
-        self._regroup(now)
+    def _note_beliefs(self, subjects: Iterable[str], now: float) -> None:
+        for subject in subjects:
+            self.journal.note_belief(subject, self.table.belief(subject, now))
 
     def _regroup(self, now: float, *, is_forced: bool = False) -> None:
         """Choose partners anew when the list or the configuration changed."""
@@ -412,7 +411,7 @@
         self.now = now
         fresh = [mark for mark in marks if self.table.merge(mark, now=now)]
         sends = self._refute(fresh, now)
-        self._after_change(now)
+        self._note_beliefs({mark.subject for mark in fresh}, now)
         return self._counted(sends)
 
     def marks(self, now: float) -> tuple[Mark, ...]:
--- a/tests/test_membership_liveness.py
+++ b/tests/test_membership_liveness.py
@@ -265,9 +265,10 @@
 
 
 @pytest.mark.parametrize("services", [1, 3, 9])
-def test_lost_zone_is_one_subject(services: int) -> None:
+@pytest.mark.parametrize(("loss", "seed"), [(0.0, 1), (0.05, 1), (0.05, 2), (0.05, 3)])
+def test_lost_zone_is_one_subject(services: int, loss: float, seed: int) -> None:
     """A lost zone is marked as a whole, not member by member."""
-    fleet = make_service_fleet(63, services=services)
+    fleet = make_service_fleet(63, services=services, loss=loss, seed=seed)
     fleet.run(3.0)
     for member in list(fleet.members.values()):
         if member.instance.zone == "c":
