--- /dev/null
+++ b/tests/fakes_processes.py
@@ -0,0 +1,257 @@
+"""Real daemons as child processes, with the stand-ins in the test's own process."""
+
+import subprocess
+import sys
+from dataclasses import dataclass, field
+from pathlib import Path
+from random import Random
+from signal import SIGCONT, SIGKILL, SIGSTOP, SIGTERM
+
+import trio
+from httpx import AsyncClient, HTTPError
+
+from balsamtide.config.port import Instance
+from balsamtide.protocol.messages import Endpoint, PatchOperation
+from bench.standins.certificates import write_certificates
+from bench.standins.deployment import SERVER_NAME
+from bench.standins.fabric import Fabric
+from bench.standins.platform import PlatformStandin
+from bench.standins.ports import free_port
+from bench.standins.target import StandInTarget, TargetRecord
+
+HOST = "127.0.0.1"
+ZONES = ("zone-a", "zone-b")
+READY_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 20.0
+POLL_S = 0.1
+PART_S = 0.05
+SETTINGS = """\
+[balsamtide]
+role = {role}
+instance = {name}
+region = region-1
+zone = {zone}
+inner = {inner}
+rpc = {rpc}
+admin = {admin}
+platform = {platform}
+drain_timeout = 60
+
+[keys]
+mac_current = 1
+mac_1_file = mac-1.hex
+id_current = 0
+id_0_file = id-0.hex
+
+{role_section}
+"""
+
+
+def _ports():
+    return f"{HOST}:{free_port()}"
+
+
+@dataclass(slots=True)
+class Process:
+    """One daemon."""
+
+    name: str
+    settings: Path
+    admin: str
+    log: Path
+    child: subprocess.Popen[bytes] | None = None
+
+    def start(self):
+        """Start the daemon."""
+        command = [sys.executable, "-m", "balsamtide.daemon", "--settings"]
+        with self.log.open("ab") as log:
+            self.child = subprocess.Popen(
+                [*command, str(self.settings)], stdout=log, stderr=log
+            )
+
+    def signal(self, number):
+        """Send a signal to this child alone."""
+        assert self.child is not None
+        self.child.send_signal(number)
+
+    async def wait_ready(self):
+        """Return when the daemon says that it is ready."""
+        async with AsyncClient() as client:
+            with trio.fail_after(READY_TIMEOUT_S):
+                while not await self._is_ready(client):
+                    await trio.sleep(POLL_S)
+
+    async def _is_ready(self, client):
+        assert self.child.poll() is None, self.log.read_text()[-3000:]
+        try:
+            response = await client.get(f"http://{self.admin}/status")
+        except HTTPError:
+            return False
+        return response.json()["state"] in ("ready", "cold", "full")
+
+    async def stop(self):
+        """Stop the daemon as planned and return its exit code."""
+        self.signal(SIGTERM)
+        with trio.fail_after(STOP_TIMEOUT_S):
+            while self.child.poll() is None:
+                await trio.sleep(POLL_S)
+        return self.child.returncode
+
+    def kill(self):
+        """End the child at once and wait for it."""
+        if self.child is None or self.child.poll() is not None:
+            return
+        self.child.send_signal(SIGCONT)
+        self.child.send_signal(SIGKILL)
+        self.child.wait()
+
+
+@dataclass(slots=True)
+class ProcessFleet:
+    """Balancers and agents of two services as processes."""
+
+    folder: Path
+    plan: dict[str, int]
+    balancers: int = 2
+    platform: PlatformStandin = field(default_factory=PlatformStandin)
+    processes: dict[str, Process] = field(default_factory=dict)
+    records: dict[str, TargetRecord] = field(default_factory=dict)
+    fabrics: dict[str, Fabric] = field(default_factory=dict)
+    listeners: dict[str, dict[str, Endpoint]] = field(default_factory=dict)
+    is_sprayed: dict[str, bool] = field(default_factory=dict)
+    authority: str = ""
+
+    async def start(self, nursery):
+        """Start the stand-ins and every daemon."""
+        self._write_keys()
+        await nursery.start(self.platform.serve)
+        services = {}
+        for number, service in enumerate(self.plan, start=1):
+            services[service] = await self._add_service(service, number, nursery)
+        for index in range(self.balancers):
+            self._add_balancer(f"balancer-{index + 1}", ZONES[index % 2])
+        patch = tuple(
+            PatchOperation("add", f"/services/{name}", value)
+            for name, value in services.items()
+        )
+        self.platform.publish(patch, base=0)
+        for process in self.processes.values():
+            process.start()
+        for process in self.processes.values():
+            await process.wait_ready()
+
+    def stop(self):
+        """End every child."""
+        for process in self.processes.values():
+            process.kill()
+
+    def _write_keys(self):
+        files = write_certificates(self.folder, server_name=SERVER_NAME)
+        self.authority = str(files.certificate)
+        for name, octets in (("mac-1", 32), ("id-0", 16)):
+            path = self.folder / f"{name}.hex"
+            path.write_text(Random(name).randbytes(octets).hex())
+            path.chmod(0o600)
+
+    async def _add_service(self, service, number, nursery):
+        record = self.records[service] = TargetRecord()
+        targets = {}
+        for index in range(self.plan[service]):
+            target = StandInTarget(service, slots=2, record=record, part_s=PART_S)
+            port = await nursery.start(target.run, HOST)
+            name = f"{service}-{index + 1}"
+            zone = ZONES[index % 2]
+            section = (
+                f"[agent]\nservice = {service}\ntarget = {name}\n"
+                "certificate = certificate.pem\nprivate_key = private_key.pem\n"
+            )
+            listed = self._add(f"agent-{name}", "agent", zone, section)
+            targets[name] = {
+                "number": index + 1,
+                "zone": zone,
+                "host": HOST,
+                "port": port,
+                "agent_host": HOST,
+                "agent_port": listed.inner.port,
+                "agent_rpc_port": listed.rpc.port,
+                "slots": 2,
+            }
+        fabric = Fabric(
+            Endpoint(HOST, 0),
+            balancers=lambda: self._sprayed(service),
+            random=Random(number),
+        )
+        self.fabrics[service] = fabric
+        nursery.start_soon(fabric.run)
+        address = {"host": HOST, "port": free_port()}
+        return {"number": number, "addresses": {"main": address}, "targets": targets}
+
+    def _sprayed(self, service):
+        return [
+            listeners[service]
+            for name, listeners in self.listeners.items()
+            if self.is_sprayed[name]
+        ]
+
+    def _add_balancer(self, name, zone):
+        self.listeners[name] = {
+            service: Endpoint(HOST, free_port()) for service in self.plan
+        }
+        self.is_sprayed[name] = True
+        lines = [
+            f"listen.{service}.main = {endpoint.host}:{endpoint.port}"
+            for service, endpoint in self.listeners[name].items()
+        ]
+        self._add(name, "balancer", zone, "[balancer]\n" + "\n".join(lines))
+
+    def _add(self, name, role, zone, section):
+        inner, rpc, admin = _ports(), _ports(), _ports()
+        settings = self.folder / f"{name}.ini"
+        settings.write_text(
+            SETTINGS.format(
+                role=role,
+                name=name,
+                zone=zone,
+                inner=inner,
+                rpc=rpc,
+                admin=admin,
+                platform=self.platform.url,
+                role_section=section,
+            )
+        )
+        log = self.folder / f"{name}.log"
+        self.processes[name] = Process(name, settings, admin, log)
+        listed = Instance(
+            name=name,
+            role=role,
+            region="region-1",
+            zone=zone,
+            inner=_endpoint(inner),
+            rpc=_endpoint(rpc),
+        )
+        self.platform.list_instance(listed)
+        return listed
+
+    async def replace(self, name):
+        """Stop a daemon as planned and start its successor; return the exit code."""
+        process = self.processes[name]
+        if name in self.is_sprayed:
+            self.is_sprayed[name] = False
+        code = await process.stop()
+        process.start()
+        await process.wait_ready()
+        if name in self.is_sprayed:
+            self.is_sprayed[name] = True
+        return code
+
+    async def freeze(self, name, seconds):
+        """Stop a daemon's clockwork for a while, as a pause of its instance does."""
+        process = self.processes[name]
+        process.signal(SIGSTOP)
+        await trio.sleep(seconds)
+        process.signal(SIGCONT)
+
+
+def _endpoint(text):
+    host, _, port = text.rpartition(":")
+    return Endpoint(host, int(port))
