Refresh liveness without touching services that did not change

A role refreshes its table every quarter of a second.

Any text as a settings file gives settings or a group of problems: property test.

--- a/bench/measures/routing.py
+++ b/bench/measures/routing.py
@@ -1,7 +1,7 @@
 """Maglev and weighted rendezvous hashing, today and at the size to come."""
 
 from collections import Counter
-from collections.abc import Callable, Container, Iterable, Iterator, Sequence
+from collections.abc import Callable, Collection, Iterable, Iterator, Sequence
 from functools import partial
 from gc import collect
 from random import Random
@@ -96,7 +96,7 @@
     configuration: Configuration,
     picker: PickerFactory,
     previous: RoutingTable | None = None,
-    recheck: Container[str] | None = None,
+    recheck: Collection[str] | None = None,
 ) -> RoutingTable:
     return build_table(
         configuration,
@@ -131,7 +131,7 @@
 
 
 def _rebuild_ms(
-    configuration: Configuration, recheck: Container[str] | None, picker: PickerFactory
+    configuration: Configuration, recheck: Collection[str] | None, picker: PickerFactory
 ) -> float:
     """Return the time to follow a change of one target, with a first pick."""
     table = _build(configuration, picker)
@@ -145,6 +145,16 @@
     return _median_time(rebuild) * 1000
 
 
+def _refresh_us(
+    configuration: Configuration, recheck: Collection[str] | None, picker: PickerFactory
+) -> float:
+    """Return the time to look for changes of liveness where there are none."""
+    table = _build(configuration, picker)
+    return MICROSECONDS * _median_time(
+        lambda: _build(configuration, picker, table, recheck)
+    )
+
+
 Quantity = Callable[[PickerFactory], float]
 
 
@@ -212,6 +222,16 @@
         "ms CPU",
         partial(_rebuild_ms, large, ()),
     )
+    yield (
+        "refresh, all services rechecked, 65,000",
+        "us CPU",
+        partial(_refresh_us, large, None),
+    )
+    yield (
+        "refresh, 2 services rechecked, 65,000",
+        "us CPU",
+        partial(_refresh_us, large, ("service-1", "service-2")),
+    )
 
 
 def figures() -> Iterable[Figure]:
--- a/src/balsamtide/routing/table.py
+++ b/src/balsamtide/routing/table.py
@@ -1,6 +1,6 @@
 """Lookups that the forwarding path needs, precomputed for one configuration."""
 
-from collections.abc import Callable, Container, Mapping, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 from dataclasses import dataclass
 from functools import cached_property
 
@@ -153,13 +153,22 @@
 
     Parameters
     ----------
+    configuration : Configuration
+        The configuration.
     version : int
-        Version of the configuration.
+        Its version.
     services : mapping of str to ServiceTable
         Tables of the services by name.
     """
 
-    def __init__(self, version: int, services: Mapping[str, ServiceTable]) -> None:
+    def __init__(
+        self,
+        configuration: Configuration,
+        *,
+        version: int,
+        services: Mapping[str, ServiceTable],
+    ) -> None:
+        self.configuration = configuration
         self.version = version
         self.services = services
         self.by_number = {
@@ -216,17 +225,49 @@
     )
 
 
+class _Builder:
+    """Builds tables of services, or keeps those of ``previous``."""
+
+    def __init__(
+        self,
+        *,
+        is_eligible: Eligibility,
+        previous: RoutingTable | None,
+        recheck: Collection[str] | None,
+        picker: PickerFactory,
+    ) -> None:
+        self.is_eligible = is_eligible
+        self.kept = {} if previous is None else previous.services
+        self.recheck = recheck
+        self.picker = picker
+
+    def build(self, name: str, service: Service) -> ServiceTable:
+        """Return the table of one service."""
+        kept = self.kept.get(name)
+        if kept is not None and not kept.is_built_from(service, self.picker):
+            kept = None
+        if kept is not None and self.recheck is not None and name not in self.recheck:
+            return kept
+        eligible = _eligible(service, self.is_eligible)
+        if kept is not None and kept.eligible == eligible:
+            return kept
+        return ServiceTable(name, service, eligible=eligible, picker=self.picker)
+
+
 def build_table(
     configuration: Configuration,
     *,
     version: int,
     is_eligible: Eligibility,
     previous: RoutingTable | None = None,
-    recheck: Container[str] | None = None,
+    recheck: Collection[str] | None = None,
     picker: PickerFactory = Rendezvous,
 ) -> RoutingTable:
     """Return the table for ``configuration``.
 
+    Where ``previous`` was built from the same configuration object and nothing
+    differs, it is returned itself; the time then depends on ``recheck`` alone.
+
     Parameters
     ----------
     configuration : Configuration
@@ -237,21 +278,26 @@
         Whether a target, given by its name and definition, may get new flows.
     previous : RoutingTable or None
         A table whose unchanged parts are kept.
-    recheck : container of str or None
+    recheck : collection of str or None
         Names of the services whose targets may have become eligible or not since
         ``previous``; None for all.
     picker : callable
-        Builds the picker of a service.
+        Builds the picker of a service; with ``recheck`` the same as before.
     """
-    kept = {} if previous is None else previous.services
-    services = {}
-    for name, service in configuration.services.items():
-        table = kept.get(name)
-        if table is not None and not table.is_built_from(service, picker):
-            table = None
-        if table is None or recheck is None or name in recheck:
-            eligible = _eligible(service, is_eligible)
-            if table is None or table.eligible != eligible:
-                table = ServiceTable(name, service, eligible=eligible, picker=picker)
-        services[name] = table
-    return RoutingTable(version, services)
+    builder = _Builder(
+        is_eligible=is_eligible, previous=previous, recheck=recheck, picker=picker
+    )
+    services = configuration.services
+    if previous is None or previous.configuration is not configuration:
+        tables = {name: builder.build(name, services[name]) for name in services}
+        return RoutingTable(configuration, version=version, services=tables)
+    checked = services.keys() if recheck is None else services.keys() & set(recheck)
+    changed = {}
+    for name in checked:
+        table = builder.build(name, services[name])
+        if table is not previous.services[name]:
+            changed[name] = table
+    if not changed and previous.version == version:
+        return previous
+    tables = {**previous.services, **changed}
+    return RoutingTable(configuration, version=version, services=tables)
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -234,3 +234,22 @@
         recheck=(),
     )
     assert {second.pick(1, key).target for key in KEYS[:200]} == {1}
+
+
+@pytest.mark.parametrize("recheck", [None, (), ("orders", "gone")])
+def test_nothing_new_keeps_the_table(recheck):
+    """Without a change of configuration or liveness the same table is returned."""
+    first = build_table(TWO_SERVICES, version=1, is_eligible=always)
+    options = {"is_eligible": always, "previous": first, "recheck": recheck}
+    assert build_table(TWO_SERVICES, version=1, **options) is first
+    assert build_table(TWO_SERVICES, version=2, **options).version == 2
+
+
+def test_other_picker_replaces_all_tables():
+    """A table by another picker keeps nothing, also for the same configuration."""
+    first = build_table(TWO_SERVICES, version=1, is_eligible=always)
+    second = build_table(
+        TWO_SERVICES, version=1, is_eligible=always, previous=first, picker=Maglev
+    )
+    pickers = {type(table.picker) for table in second.services.values()}
+    assert pickers == {Maglev}
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -326,6 +326,24 @@
     assert (value in shown(value)) is is_shown
 
 
+LINES = st.one_of(
+    st.sampled_from(AGENT.splitlines() + BALANCER.splitlines()),
+    st.text(max_size=40),
+    st.builds("{} = {}".format, st.text(max_size=9), st.text(max_size=9)),
+)
+
+
+@given(lines=st.lists(LINES, max_size=40))
+def test_any_text_loads_or_names_its_problems(directory, lines):
+    """Any text gives settings or a group of problems, never another error."""
+    path = directory / "any.ini"
+    path.write_bytes("\n".join(lines).encode("utf-8", "surrogatepass"))
+    try:
+        load_settings(path)
+    except SettingsError as error:
+        assert len(error.problems) == len(error.exceptions) >= 1
+
+
 def test_reference_page_is_current():
     """The page of settings is what the fields give."""
     page = (ROOT / "docs" / "settings.md").read_text()
