--- a/bench/measures/liveness.py
+++ b/bench/measures/liveness.py
@@ -100,7 +100,7 @@
     """Let one member publish one claim, without its repetitions."""
     member = fleet.members[name]
     membership = member.membership
-    mark = membership._own_leaving_mark()
+    mark = membership.own_claims.leaving()
     fleet.send(member, membership._publish([mark], fleet.now, cause="measure"))
 
 
--- a/src/balsamtide/membership/membership.py
+++ b/src/balsamtide/membership/membership.py
@@ -21,7 +21,6 @@
 from balsamtide.membership.liveness import Observer
 from balsamtide.membership.log import EntryLog
 from balsamtide.membership.marks import (
-    ALIVE,
     LEAVING,
     MICROSECONDS,
     PLATFORM,
@@ -32,11 +31,12 @@
 )
 from balsamtide.membership.metrics import MESSAGES, PEERS
 from balsamtide.membership.metrics import READER as READER_GAUGE
+from balsamtide.membership.own_claims import OwnClaims
 from balsamtide.membership.participant import Participant
 from balsamtide.membership.peers import Peers
 from balsamtide.membership.reader_lease import ReaderLease
 from balsamtide.membership.spreading import PushWithExchange, Spreading
-from balsamtide.membership.status import MarkStatus, MembershipStatus
+from balsamtide.membership.status import MembershipStatus, mark_statuses
 from balsamtide.membership.view import LivenessView
 from balsamtide.protocol.actions import Send
 from balsamtide.protocol.messages import (
@@ -54,11 +54,6 @@
 __all__ = ["Membership"]
 
 DEFAULT_LIMITS = MembershipLimits()
-# Rounds in which a leaving process repeats its announcement, and their distance.
-LEAVING_ROUNDS = 3
-LEAVING_ROUND_S = 0.3
-# Least time between two proofs of the own life.
-REFUTATION_S = 1.0
 
 
 class Membership(Participant, LivenessView):
@@ -132,10 +127,7 @@
         )
         self.reader_lease = ReaderLease(instance, limits=limits, random=random, now=now)
         self.grouped_version = -1
-        self.is_leaving = False
-        self.leaving_rounds = 0
-        self.next_leaving = float("inf")
-        self.next_refutation = now
+        self.own_claims = OwnClaims(self.identity, limits, now)
         self.was_reader = False
         self.now = now
 
@@ -169,8 +161,9 @@
         leaving = [each for each in instances if each.state is InstanceState.LEAVING]
         self.journal.event(LIST_UPDATED, instances=len(instances), leaving=len(leaving))
         self.sink.gauge(PEERS, len(self.view.known))
+        remaining_us = int(self.limits.leaving_s * MICROSECONDS)
         marks = [
-            self._leaving_mark(each.name, PLATFORM, 0)
+            Mark(each.name, LEAVING, PLATFORM, 0, remaining_us)
             for each in leaving
             if self.table.remaining_s(each.name, LEAVING, PLATFORM, now)
             < self.limits.leaving_s / 2
@@ -251,7 +244,7 @@
         return min(
             self.observer.deadline,
             self.epidemic.next_exchange,
-            self.next_leaving,
+            self.own_claims.deadline,
             self.table.next_expiry,
         )
 
@@ -266,7 +259,7 @@
             sends += observation.sends
             sends += self._publish(observation.marks, now, cause="lease ran out")
             sends += self._tick_reader(now)
-        if now >= self.next_leaving:
+        if now >= self.own_claims.deadline:
             sends += self._repeat_leaving(now)
         return self._counted(sends)
 
@@ -298,10 +291,6 @@
 
     # Claims
 
-    def _leaving_mark(self, subject: str, observer: str, incarnation: int) -> Mark:
-        remaining_us = int(self.limits.leaving_s * MICROSECONDS)
-        return Mark(subject, LEAVING, observer, incarnation, remaining_us)
-
     def _publish(self, marks: Sequence[Mark], now: float, *, cause: str) -> list[Send]:
         fresh = [mark for mark in marks if self.table.merge(mark, now=now)]
         if not fresh:
@@ -313,56 +302,30 @@
 
     def _refute(self, marks: Sequence[Mark], now: float) -> list[Send]:
         """Prove the own life where a peer claims otherwise."""
-        claims = [
-            mark.incarnation
-            for mark in marks
-            if mark.subject == self.identity.name
-            and mark.observer not in (PLATFORM, self.identity.name)
-            and mark.kind == SUSPECT
-        ]
-        own_leaving = [
-            mark.incarnation
-            for mark in marks
-            if mark.subject == mark.observer == self.identity.name
-            and mark.kind == LEAVING
-            and not self.is_leaving
-        ]
-        claims += own_leaving
-        if not claims or now < self.next_refutation:
+        proof = self.own_claims.refutation(marks, now)
+        if proof is None:
             return []
-        self.next_refutation = now + REFUTATION_S
-        self.identity.outdo(max(claims))
         self.journal.event(REFUTED, incarnation=self.identity.incarnation)
-        sends = self._publish([self._alive_mark()], now, cause="marked by others")
-        if self.is_leaving:
-            sends += self._publish([self._own_leaving_mark()], now, cause="stopping")
-        return sends
-
-    def _alive_mark(self) -> Mark:
-        remaining_us = int(self.limits.alive_s * MICROSECONDS)
-        name = self.identity.name
-        return Mark(name, ALIVE, name, self.identity.incarnation, remaining_us)
+        claims = [proof, self.own_claims.leaving()] if self.is_leaving else [proof]
+        return self._publish(claims, now, cause="marked by others")
 
-    def _own_leaving_mark(self) -> Mark:
-        name = self.identity.name
-        return self._leaving_mark(name, name, self.identity.incarnation)
+    @property
+    def is_leaving(self) -> bool:
+        """Whether this process announced that it leaves."""
+        return self.own_claims.is_leaving
 
     def announce_leaving(self, now: float) -> Sequence[Send]:
         """Tell peers that this process takes no new work; it is repeated by ticks."""
         self.now = now
-        self.is_leaving = True
-        self.leaving_rounds = LEAVING_ROUNDS
+        self.own_claims.start_leaving(now)
         return self._counted(self._repeat_leaving(now))
 
     def _repeat_leaving(self, now: float) -> list[Send]:
-        """Push the claim again, to other random peers each time."""
-        mark = self._own_leaving_mark()
+        """Push the claim to other random peers each time, and to all partners."""
+        mark = self.own_claims.announcement(now)
         if self.table.merge(mark, now=now):
             self.journal.made(mark, "stopping")
             self._note_beliefs([mark.subject], now)
-        self.leaving_rounds = max(0, self.leaving_rounds - 1)
-        wait_s = LEAVING_ROUND_S if self.leaving_rounds else self.limits.leaving_s / 3
-        self.next_leaving = now + wait_s
         sends = self.epidemic.publish([mark], now)
         name, incarnation = self.identity.name, self.identity.incarnation
         push = Push(name, incarnation, (), (mark,))
@@ -443,24 +406,12 @@
             is_reader=self.reader_lease.is_reader,
             is_cut_off=self.observer.is_cut_off,
             is_leaving=self.is_leaving,
-            marks=self._mark_statuses(),
+            marks=mark_statuses(self.table, self.now),
             partners=tuple(sorted(self.observer.partners)),
             silent=tuple(sorted(silent)),
             peers=len(self.view.known),
         )
 
-    def _mark_statuses(self) -> tuple[MarkStatus, ...]:
-        return tuple(
-            MarkStatus(
-                subject=claim.subject,
-                kind=claim.kind,
-                observer=claim.observer,
-                remaining_s=round(claim.deadline - self.now, 3),
-                is_believed=self.table.belief(claim.subject, self.now) == claim.kind,
-            )
-            for claim in self.table
-        )
-
     def _counted(self, sends: list[Send]) -> list[Send]:
         for send in sends:
             self.sink.count(MESSAGES, kind=type(send.message).__name__)
--- /dev/null
+++ b/src/balsamtide/membership/own_claims.py
@@ -0,0 +1,88 @@
+"""What a process claims about itself: that it leaves, or that it is alive."""
+
+from collections.abc import Sequence
+
+from balsamtide.membership.identity import Identity
+from balsamtide.membership.limits import MembershipLimits
+from balsamtide.membership.marks import (
+    ALIVE,
+    LEAVING,
+    MICROSECONDS,
+    PLATFORM,
+    SUSPECT,
+)
+from balsamtide.protocol.messages import Mark
+
+__all__ = ["OwnClaims"]
+
+# Rounds in which a leaving process repeats its announcement, and their distance.
+LEAVING_ROUNDS = 3
+LEAVING_ROUND_S = 0.3
+# Share of its longest time after which the announcement is renewed.
+RENEWAL_SHARE = 1 / 3
+# Least time between two proofs of the own life.
+REFUTATION_S = 1.0
+
+
+class OwnClaims:
+    """Makes the marks of a process about itself.
+
+    Parameters
+    ----------
+    identity : Identity
+        The own name and incarnation; a refutation raises the incarnation.
+    limits : MembershipLimits
+        Longest times of marks.
+    now : float
+        Current time, seconds.
+    """
+
+    def __init__(
+        self, identity: Identity, limits: MembershipLimits, now: float
+    ) -> None:
+        self.identity = identity
+        self.limits = limits
+        self.is_leaving = False
+        self.rounds = 0
+        self.deadline = float("inf")
+        self.next_refutation = now
+
+    def start_leaving(self, now: float) -> None:
+        """Begin to announce that this process leaves."""
+        self.is_leaving = True
+        self.rounds = LEAVING_ROUNDS
+        self.deadline = now
+
+    def announcement(self, now: float) -> Mark:
+        """Return the announcement and set the time of the next one."""
+        self.rounds = max(0, self.rounds - 1)
+        wait_s = self.limits.leaving_s * RENEWAL_SHARE
+        self.deadline = now + (LEAVING_ROUND_S if self.rounds else wait_s)
+        return self.leaving()
+
+    def leaving(self) -> Mark:
+        """Return the claim that this process leaves."""
+        return self._claim(LEAVING, self.limits.leaving_s)
+
+    def _claim(self, kind: str, longest_s: float) -> Mark:
+        name, incarnation = self.identity.name, self.identity.incarnation
+        return Mark(name, kind, name, incarnation, int(longest_s * MICROSECONDS))
+
+    def refutation(self, marks: Sequence[Mark], now: float) -> Mark | None:
+        """Return a proof of life if ``marks`` claim otherwise.
+
+        What the platform's list says cannot be refuted.
+        """
+        claims = [mark.incarnation for mark in marks if self._is_wrong(mark)]
+        if not claims or now < self.next_refutation:
+            return None
+        self.next_refutation = now + REFUTATION_S
+        self.identity.outdo(max(claims))
+        return self._claim(ALIVE, self.limits.alive_s)
+
+    def _is_wrong(self, mark: Mark) -> bool:
+        if mark.subject != self.identity.name or mark.observer == PLATFORM:
+            return False
+        if mark.kind == SUSPECT:
+            return True
+        return mark.kind == LEAVING and not self.is_leaving
--- a/src/balsamtide/membership/status.py
+++ b/src/balsamtide/membership/status.py
@@ -2,7 +2,9 @@
 
 from dataclasses import dataclass
 
-__all__ = ["MarkStatus", "MembershipStatus"]
+from balsamtide.membership.marks import MarkTable
+
+__all__ = ["MarkStatus", "MembershipStatus", "mark_statuses"]
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -73,3 +75,17 @@
     partners: tuple[str, ...]
     silent: tuple[str, ...]
     peers: int
+
+
+def mark_statuses(table: MarkTable, now: float) -> tuple[MarkStatus, ...]:
+    """Return the claims of ``table`` as seen at ``now``."""
+    return tuple(
+        MarkStatus(
+            subject=claim.subject,
+            kind=claim.kind,
+            observer=claim.observer,
+            remaining_s=round(claim.deadline - now, 3),
+            is_believed=table.belief(claim.subject, now) == claim.kind,
+        )
+        for claim in table
+    )
