--- a/src/balsamtide/membership/directory.py
+++ b/src/balsamtide/membership/directory.py
@@ -10,6 +10,8 @@
 __all__ = ["Directory"]
 
 AGENT = "agent"
+# Agents whose service is remembered; only marked ones are looked up.
+KNOWN_SERVICES = 4096
 
 
 def agent_endpoint(target: Target) -> Endpoint:
@@ -62,6 +64,8 @@
             return known
         for service_name, service in services.items():
             if _serves(service, name, endpoint):
+                if len(self.services) >= KNOWN_SERVICES:
+                    self.services.clear()
                 self.services[name] = service_name
                 return service_name
         self.services.pop(name, None)
--- a/src/balsamtide/membership/epidemic.py
+++ b/src/balsamtide/membership/epidemic.py
@@ -25,6 +25,8 @@
 PUSH_OVERHEAD_BYTES = 100
 # Datagrams of marks that one difference of digests may cause.
 MARK_DATAGRAMS = 2
+# Least time between two reports of a peer with another log.
+MISMATCH_REPORT_S = 60.0
 
 
 class Epidemic:
@@ -74,6 +76,7 @@
         self.pull_deadline = now
         self.pull_source: Endpoint | None = None
         self.marks_deadline = now
+        self.next_mismatch_report = now
         self.bulk_source: Endpoint | None = None
         period_s = spreading.exchange_period_s
         first_s = spreading.peers.random.random() * period_s
@@ -142,11 +145,17 @@
         elif digest.number < held.number:
             sends += self._answer_entries(digest.number, source)
         elif digest.chain != held.chain:
-            self.journal.event(CHAIN_MISMATCH, peer=digest.sender, number=digest.number)
+            self._note_mismatch(digest, now)
         if digest.marks != self.table.digest():
             sends += self._reconcile_marks(digest, source, now)
         return sends
 
+    def _note_mismatch(self, digest: ChainDigest, now: float) -> None:
+        if now < self.next_mismatch_report:
+            return
+        self.next_mismatch_report = now + MISMATCH_REPORT_S
+        self.journal.event(CHAIN_MISMATCH, peer=digest.sender, number=digest.number)
+
     def _fall_behind(
         self, digest: ChainDigest, source: Endpoint, now: float
     ) -> list[Send]:
--- a/tests/test_membership_epidemic.py
+++ b/tests/test_membership_epidemic.py
@@ -5,6 +5,7 @@
 import pytest
 
 from balsamtide.membership import PushOnly, PushWithExchange, RelayTree
+from balsamtide.membership.events import CHAIN_MISMATCH
 from bench.standins.members import Fleet, FleetRules, make_instances
 from tests.fakes_membership import FakeLog, make_entry
 
@@ -97,3 +98,16 @@
         return fleet.sent, fleet.sent_bytes
 
     assert run() == run()
+
+
+def test_other_log_under_the_same_number_is_reported() -> None:
+    """Two members with different logs of the same length report it, but not often."""
+    fleet = make_fleet(2)
+    for name, padding in (("agent-0", 5), ("agent-1", 6)):
+        entry = make_entry(1, padding=padding)
+        fleet.members[name].log.offer_entries([entry], source="", now=fleet.now)
+    fleet.run(30.0)
+    for member in fleet.members.values():
+        reported = [event for event, _ in member.sink.events if event is CHAIN_MISMATCH]
+        assert len(reported) == 1
+        assert member.log.held.number == 1
