--- /dev/null
+++ b/tests/test_failures_flows.py
@@ -0,0 +1,327 @@
+"""Flows under random datagram faults and planned changes, without sockets.
+
+Real flow engines of two targets and of another service, real forwarders and real
+callers; hypothesis draws what happens to each datagram and when targets drain and
+balancers change.  ``whole_answer``: each caller gets exactly its own answer.
+``nothing_cut``: a flow that was open before a planned change lives on.
+``no_new_work``: a draining target opens no flow.
+"""
+
+from dataclasses import dataclass, field
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+from aioquic.h3.connection import H3_ALPN, H3Connection
+from aioquic.h3.events import DataReceived
+from aioquic.quic.configuration import QuicConfiguration
+from aioquic.quic.connection import QuicConnection
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from balsamtide.agent.flow_engine import (
+    FlowEngine,
+    FlowLimits,
+    make_quic_configuration,
+)
+from balsamtide.agent.flow_events import RequestOpened
+from balsamtide.agent.return_path import BalancerLeases
+from balsamtide.agent.steering import Steering
+from balsamtide.balancer.forwarder import Forwarded, Forwarder
+from balsamtide.config.model import Configuration, Service, Target, TargetState
+from balsamtide.protocol.connection_id import ConnectionIdCodec, Destination, IdKeys
+from balsamtide.protocol.datagram import DatagramCodec
+from balsamtide.protocol.messages import Endpoint, Forward
+from balsamtide.routing.table import build_table
+from balsamtide.telemetry.memory_sink import MemorySink
+from bench.standins.certificates import write_certificates
+from tests.fakes_requests import KEYS
+
+NAME = "service.test"
+CODEC = DatagramCodec(KEYS)
+IDS = ConnectionIdCodec(IdKeys(current=0, keys={0: b"i" * 16}))
+DESTINATIONS = (Destination(1, 1), Destination(1, 2), Destination(2, 1))
+ANSWER_BYTES = 5_000
+STEP_S = 0.02
+STEPS = 1_500
+FAULTY_STEPS = 60
+EXAMPLES = max(40, settings().max_examples // 4)
+
+
+def _certificates():
+    with TemporaryDirectory() as folder:
+        files = write_certificates(Path(folder), server_name=NAME)
+        configuration = make_quic_configuration()
+        configuration.load_cert_chain(files.certificate, files.private_key)
+        return configuration, files.certificate.read_bytes()
+
+
+CONFIGURATION, AUTHORITY = _certificates()
+
+
+def _port(destination):
+    return 9000 + 100 * destination.service + destination.target
+
+
+def _target(destination, state):
+    return Target(
+        number=destination.target,
+        zone="a",
+        host="10.0.0.1",
+        port=80,
+        agent_host="10.0.0.1",
+        agent_port=_port(destination),
+        agent_rpc_port=1,
+        state=state,
+    )
+
+
+def _table(draining, version):
+    services = {}
+    for number in (1, 2):
+        targets = {
+            f"t{d.target}": _target(
+                d,
+                TargetState.DRAINING if d in draining else TargetState.ACTIVE,
+            )
+            for d in DESTINATIONS
+            if d.service == number
+        }
+        services[f"s{number}"] = Service(number=number, targets=targets)
+    return build_table(
+        Configuration(services=services),
+        version=version,
+        is_eligible=lambda name, target: target.state is TargetState.ACTIVE,
+    )
+
+
+class ToPeer(Steering):
+    """Steers to the other target of service 1 while draining."""
+
+    def __init__(self, own):
+        self.peer = Destination(own.service, 3 - own.target)
+
+    def choose(self, first_id, now, *, is_full, is_draining):
+        """Return the inner endpoint of the peer, or None."""
+        return Endpoint("10.0.0.1", _port(self.peer)) if is_draining else None
+
+
+@dataclass(slots=True)
+class Client:
+    """One caller with one request."""
+
+    number: int
+    service: int
+    connection: QuicConnection
+    http: H3Connection | None = None
+    body: bytes = b""
+    is_whole: bool = False
+    is_over: bool = False
+
+    @property
+    def endpoint(self):
+        """Its address."""
+        return Endpoint("10.1.0.1", 10_000 + self.number)
+
+    @property
+    def expected(self):
+        """The answer that is its own."""
+        return (b"%d/%d " % (self.service, self.number)) * ANSWER_BYTES
+
+
+@dataclass(slots=True)
+class World:
+    """Callers, balancers and agents that pass datagrams in memory."""
+
+    now: float = 1.0
+    clients: list[Client] = field(default_factory=list)
+    engines: dict[int, FlowEngine] = field(default_factory=dict)
+    forwarders: list[Forwarder] = field(default_factory=list)
+    late: list[tuple[float, Client, bytes, bool]] = field(default_factory=list)
+    draining: set[Destination] = field(default_factory=set)
+    version: int = 1
+    opened_before: int = 0
+
+    def __post_init__(self):
+        """Start the agents and two balancers."""
+        for destination in DESTINATIONS:
+            self.engines[_port(destination)] = FlowEngine(
+                own=destination,
+                configuration=CONFIGURATION,
+                ids=IDS,
+                reset_key=b"r" * 32,
+                limits=FlowLimits(),
+                steering=ToPeer(destination),
+                leases=BalancerLeases(),
+                sink=MemorySink(),
+            )
+        for _ in range(2):
+            self.add_balancer()
+
+    def add_balancer(self):
+        """Start a balancer that knows nothing of any flow."""
+        self.forwarders.append(
+            Forwarder(
+                codec=CODEC,
+                ids=IDS,
+                table=_table(self.draining, self.version),
+                version=self.version,
+                reply_to=Endpoint("10.2.0.1", 5000 + len(self.forwarders)),
+            )
+        )
+
+    def drain(self, destination):
+        """Drain a target: its agent and every other balancer hear of it at once."""
+        self.draining.add(destination)
+        self.version += 1
+        for forwarder in self.forwarders[::2]:
+            forwarder.use_table(
+                _table(self.draining, self.version), version=self.version
+            )
+        engine = self.engines[_port(destination)]
+        engine.drain()
+        self.opened_before = engine.last_number
+
+    def connect(self, service):
+        """Let a caller connect and ask."""
+        configuration = QuicConfiguration(
+            is_client=True, alpn_protocols=H3_ALPN, server_name=NAME
+        )
+        configuration.load_verify_locations(cadata=AUTHORITY)
+        client = Client(
+            len(self.clients), service, QuicConnection(configuration=configuration)
+        )
+        self.clients.append(client)
+        client.connection.connect(("10.9.0.1", 443), now=self.now)
+        client.http = H3Connection(client.connection)
+        client.http.send_headers(
+            client.connection.get_next_available_stream_id(),
+            [
+                (b":method", b"GET"),
+                (b":scheme", b"https"),
+                (b":authority", NAME.encode()),
+                (b":path", b"/%d" % client.number),
+            ],
+            end_stream=True,
+        )
+
+    def step(self, fate):
+        """Pass what is due; ``fate`` tells what happens to each datagram."""
+        self.now += STEP_S
+        due = [item for item in self.late if item[0] <= self.now]
+        self.late = [item for item in self.late if item[0] > self.now]
+        for _, client, data, is_upward in due:
+            self.deliver(client, data, is_upward, 0)
+        for client in self.clients:
+            self._step_client(client, fate)
+        for engine in self.engines.values():
+            engine.tick(self.now)
+            self._flush(engine, fate)
+
+    def _step_client(self, client, fate):
+        timer = client.connection.get_timer()
+        if timer is not None and timer <= self.now:
+            client.connection.handle_timer(self.now)
+        for data, _ in client.connection.datagrams_to_send(self.now):
+            self._pass(client, data, True, fate())
+        event = client.connection.next_event()
+        while event is not None:
+            for h3_event in client.http.handle_event(event):
+                if isinstance(h3_event, DataReceived):
+                    client.body += h3_event.data
+                    client.is_whole = client.is_whole or h3_event.stream_ended
+            event = client.connection.next_event()
+
+    def _pass(self, client, data, is_upward, fate):
+        if fate == 1:
+            return
+        if fate == 2:
+            self.late.append((self.now + 5 * STEP_S, client, data, is_upward))
+            return
+        if fate == 3:
+            self.deliver(client, data, is_upward, fate)
+        self.deliver(client, data, is_upward, fate)
+
+    def deliver(self, client, data, is_upward, fate):
+        """Hand a datagram to some balancer, or to its caller."""
+        if not is_upward:
+            client.connection.receive_datagram(data, ("10.9.0.1", 443), self.now)
+            return
+        choice = (client.number + len(data) + fate) % len(self.forwarders)
+        result = self.forwarders[choice].forward(
+            data, client.endpoint, client.service, "a"
+        )
+        if isinstance(result, Forwarded):
+            engine = self.engines[result.destination[1]]
+            engine.receive(CODEC.decode(result.datagram), self.now)
+
+    def _flush(self, engine, fate):
+        events, sends = engine.flush(self.now)
+        for event in events:
+            if isinstance(event, RequestOpened):
+                self._answer(engine, event)
+        _, more = engine.flush(self.now)
+        for send in sends + more:
+            if isinstance(send.message, Forward):
+                peer = self.engines[send.destination.port]
+                peer.receive(send.message, self.now)
+                continue
+            client = self.clients[send.message.caller.port - 10_000]
+            assert send.message.service == client.service, "wrong service"
+            self._pass(client, send.message.payload, False, fate())
+
+    def _answer(self, engine, event):
+        client = self.clients[event.caller.port - 10_000]
+        assert engine.own.service == client.service, "wrong service"
+        engine.start_answer(event.key, ((b":status", b"200"),), is_ended=False)
+        engine.write_answer(event.key, client.expected, is_ended=True)
+        engine.finish(event.key)
+
+
+fates = st.lists(st.sampled_from([0, 0, 0, 0, 1, 2, 3]), min_size=20, max_size=200)
+changes = st.lists(
+    st.tuples(
+        st.integers(0, FAULTY_STEPS - 1),
+        st.sampled_from(["connect-1", "connect-2", "drain", "balancer", "replace"]),
+    ),
+    max_size=8,
+)
+
+
+@settings(max_examples=EXAMPLES)
+@given(fates, changes)
+def test_flows_survive_faults_and_planned_changes(fates, changes):
+    """Every caller that got a flow gets its own whole answer in the end."""
+    world = World()
+    world.connect(1)
+    world.connect(2)
+    drawn = iter(fates)
+    for step in range(FAULTY_STEPS):
+        for _, change in (each for each in changes if each[0] == step):
+            _apply(world, change)
+        world.step(lambda: next(drawn, 0))
+        _check_draining(world)
+    for _ in range(STEPS):
+        if all(client.is_whole for client in world.clients):
+            break
+        world.step(lambda: 0)
+    for client in world.clients:
+        assert client.body == client.expected, "whole_answer"
+
+
+def _apply(world, change):
+    match change:
+        case "connect-1" | "connect-2":
+            world.connect(int(change[-1]))
+        case "drain" if not world.draining:
+            world.drain(DESTINATIONS[0])
+        case "balancer":
+            world.add_balancer()
+        case "replace":
+            world.forwarders.pop(0)
+            world.add_balancer()
+
+
+def _check_draining(world):
+    for destination in world.draining:
+        engine = world.engines[_port(destination)]
+        assert engine.last_number == world.opened_before, "no_new_work"
