--- a/src/balsamtide/agent/address_validation.py
+++ b/src/balsamtide/agent/address_validation.py
@@ -1,11 +1,16 @@
-"""Proof that a caller owns its address, by QUIC Retry."""
+"""What is settled before a flow is opened: QUIC version and the caller's address."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 from aioquic.buffer import Buffer
 from aioquic.quic.connection import NetworkAddress
-from aioquic.quic.packet import QuicHeader, encode_quic_retry, pull_quic_header
+from aioquic.quic.packet import (
+    QuicHeader,
+    encode_quic_retry,
+    encode_quic_version_negotiation,
+    pull_quic_header,
+)
 from aioquic.quic.retry import QuicRetryTokenHandler
 
 from balsamtide.protocol.connection_id import CONNECTION_ID_BYTES
@@ -40,10 +45,15 @@
     ----------
     issue_id : callable
         Returns a connection ID that routes to this agent.
+    versions : sequence of int
+        QUIC versions that are spoken.
     """
 
-    def __init__(self, *, issue_id: Callable[[], bytes]) -> None:
+    def __init__(
+        self, *, issue_id: Callable[[], bytes], versions: Sequence[int]
+    ) -> None:
         self.issue_id = issue_id
+        self.versions = tuple(versions)
         self.tokens = QuicRetryTokenHandler()
 
     def check(
@@ -68,6 +78,8 @@
             )
         except ValueError:
             return AddressCheck()
+        if header.version not in self.versions:
+            return AddressCheck(answer=self._offer_versions(header))
         address = (caller.host, caller.port)
         if header.token:
             return self._check_token(header, address, now)
@@ -75,6 +87,16 @@
             return AddressCheck(original_id=header.destination_cid)
         return AddressCheck(answer=self._make_retry(header, address, now))
 
+    def _offer_versions(self, header: QuicHeader) -> bytes | None:
+        if not header.version:
+            # An answer to a version negotiation could go on for ever.
+            return None
+        return encode_quic_version_negotiation(
+            source_cid=header.destination_cid,
+            destination_cid=header.source_cid,
+            supported_versions=list(self.versions),
+        )
+
     def _check_token(
         self, header: QuicHeader, address: NetworkAddress, now: float
     ) -> AddressCheck:
--- a/src/balsamtide/agent/connection.py
+++ b/src/balsamtide/agent/connection.py
@@ -1,7 +1,7 @@
 """aioquic's connections with what an agent needs on top.
 
 This module is the only one that depends on internals of aioquic; the version is
-pinned and ``tests/test_agent_connection.py`` checks what is relied on.
+pinned and ``tests/test_flow_engine.py`` checks what is relied on.
 """
 
 from collections.abc import Callable
@@ -10,7 +10,11 @@
 from aioquic.buffer import encode_uint_var
 from aioquic.h3.connection import FrameType, H3Connection, encode_frame
 from aioquic.quic.configuration import QuicConfiguration
-from aioquic.quic.connection import QuicConnection, QuicConnectionId
+from aioquic.quic.connection import (
+    QuicConnection,
+    QuicConnectionId,
+    QuicConnectionState,
+)
 from aioquic.quic.packet_builder import QuicPacketBuilder
 from aioquic.quic.recovery import QuicPacketSpace
 from aioquic.quic.stream import QuicStream
@@ -106,6 +110,11 @@
         if wanted - limit > STREAM_WINDOW_BYTES // 2:
             stream.max_stream_data_local = wanted
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether a packet of the caller could be decrypted."""
+        return self._state is not QuicConnectionState.FIRSTFLIGHT
+
     def unsent_bytes(self, stream_id: int) -> int:
         """Return the octets of an answer that the caller has not acknowledged."""
         stream = self._streams.get(stream_id)
--- a/src/balsamtide/agent/execution.py
+++ b/src/balsamtide/agent/execution.py
@@ -185,6 +185,7 @@
     ) -> Outcome:
         runner = self.hand_off.runner(transfer.targets, job.keyed)
         outcome = await self._run(job, runner, Stage.HAND_OFF, stall_s)
+        self._book_target_time(job, outcome)
         for error in runner.attempts:
             job.attempts.append(f"peer {error.verdict.value} {error.reason}")
         if runner.target is not None:
@@ -194,6 +195,14 @@
             self.dispatcher.finish(job.facts.request_id, outcome)
         return outcome
 
+    @staticmethod
+    def _book_target_time(job: Job, outcome: Outcome) -> None:
+        """Move the time on the peer's target from hand-off to target."""
+        spent = job.stages.seconds.get(Stage.HAND_OFF, 0.0)
+        on_target = min(spent, outcome.service_time_s or 0.0)
+        job.stages.add(Stage.TARGET, on_target)
+        job.stages.add(Stage.HAND_OFF, -on_target)
+
     async def _run(
         self, job: Job, runner: Runner, stage: Stage, stall_s: Callable[[], float]
     ) -> Outcome:
--- a/src/balsamtide/agent/flow_engine.py
+++ b/src/balsamtide/agent/flow_engine.py
@@ -145,7 +145,9 @@
         self.steering = steering
         self.leases = leases
         self.sink = sink
-        self.validation = AddressValidation(issue_id=self.issue_id)
+        self.validation = AddressValidation(
+            issue_id=self.issue_id, versions=configuration.supported_versions
+        )
         self.flows: dict[int, Flow] = {}
         self.by_id: dict[bytes, Flow] = {}
         self.handshakes = 0
@@ -224,6 +226,9 @@
         self._register(flow, first_id)
         self._register(flow, flow.connection.host_cid)
         self._feed(flow, forward, now)
+        if not flow.connection.has_begun:
+            self._discard(flow)
+            self._drop("not-a-handshake", forward)
 
     def _peer_for(
         self, first_id: bytes, forward: Forward, now: float
@@ -479,13 +484,19 @@
         self.handshakes -= 1
         self.sink.count(FLOWS_OPENED)
 
-    def _close(self, flow: Flow, event: ConnectionTerminated) -> None:
+    def _discard(self, flow: Flow) -> bool:
         if self.flows.pop(flow.number, None) is None:
-            return
+            return False
+        self.dirty.pop(flow.number, None)
         for connection_id in flow.ids:
             self.by_id.pop(connection_id, None)
         if not flow.is_handshake_done:
             self.handshakes -= 1
+        return True
+
+    def _close(self, flow: Flow, event: ConnectionTerminated) -> None:
+        if not self._discard(flow):
+            return
         cause = "caller" if event.error_code in (0, ErrorCode.H3_NO_ERROR) else "error"
         self.sink.count(FLOWS_CLOSED, cause=cause)
         self.events.append(FlowClosed(flow.number))
--- a/src/balsamtide/agent/peer_host.py
+++ b/src/balsamtide/agent/peer_host.py
@@ -1,6 +1,7 @@
 """What an agent does for its peers: grants, runs and repeats."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
+from contextlib import contextmanager
 
 from trio import current_time
 
@@ -70,6 +71,8 @@
         self.runner = runner
         self.executor = executor
         self.home = home
+        # Requests of peers in progress; a planned stop waits for them.
+        self.running = 0
 
     async def offer(
         self, facts: RequestFacts, grant_deadline: float, wait_deadline: float
@@ -95,7 +98,8 @@
         answer: AnswerWriter,
     ) -> Outcome:
         """Run a started request on the own target."""
-        return await self.runner.run(facts, head, body, answer)
+        with self._counted():
+            return await self.runner.run(facts, head, body, answer)
 
     def decide_asked(self, facts: RequestFacts, stamp: Stamp) -> HomeDecision:
         """Decide about a peer's repeat."""
@@ -118,7 +122,16 @@
             answer=AnswerRecorder(answer),
             keyed=decision.keyed,
         )
-        return await self.executor.execute(job, stall_s=float)
+        with self._counted():
+            return await self.executor.execute(job, stall_s=float)
+
+    @contextmanager
+    def _counted(self) -> Iterator[None]:
+        self.running += 1
+        try:
+            yield
+        finally:
+            self.running -= 1
 
     def adopt(self, image: LedgerImage) -> bool:
         """Become the successor of a closed ledger."""
--- a/src/balsamtide/agent/request_handler.py
+++ b/src/balsamtide/agent/request_handler.py
@@ -26,28 +26,13 @@
 from balsamtide.telemetry.sink import RequestRecord, Sink
 from balsamtide.telemetry.stages import Stage, StageTimes
 
-__all__ = ["AgentIdentity", "RequestHandler"]
+__all__ = ["RequestHandler"]
 
 STAMP_PATH = "/.well-known/balsamtide"
 STATUS_NO_CONTENT = 204
 STATUS_BAD_REQUEST = 400
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class AgentIdentity:
-    """Names that appear in records.
-
-    Parameters
-    ----------
-    service, target, zone : str
-        Names of the service, of the target and of its availability zone.
-    """
-
-    service: str
-    target: str
-    zone: str
-
-
 class FlowBody:
     """The body of a request that comes over a flow.
 
@@ -91,12 +76,14 @@
 
     Parameters
     ----------
-    identity : AgentIdentity
-        Names for records.
+    service_name : str
+        Name of the service.
     service : callable
         Returns the service of the version in force.
     version : callable
         Returns that version.
+    zone : callable
+        Returns the availability zone of a target by its name.
     new_request_id : callable
         Returns an identifier unique in the fleet.
     flows : FlowTask
@@ -112,18 +99,20 @@
     def __init__(
         self,
         *,
-        identity: AgentIdentity,
+        service_name: str,
         service: Callable[[], Service],
         version: Callable[[], int],
+        zone: Callable[[str], str],
         new_request_id: Callable[[], str],
         flows: FlowTask,
         executor: Executor,
         keyed: KeyedRequests,
         sink: Sink,
     ) -> None:
-        self.identity = identity
+        self.service_name = service_name
         self.service = service
         self.version = version
+        self.zone = zone
         self.new_request_id = new_request_id
         self.flows = flows
         self.executor = executor
@@ -152,7 +141,7 @@
         try:
             parsed = parse_request(
                 stream.opened,
-                service_name=self.identity.service,
+                service_name=self.service_name,
                 service=self.service(),
                 request_id=request_id,
                 now=stream.opened_at,
@@ -254,7 +243,7 @@
                 service=job.facts.service,
                 route=job.facts.route,
                 target=job.ran_on,
-                zone=self.identity.zone if job.ran_on else "",
+                zone=self.zone(job.ran_on),
                 version=self.version(),
                 verdict=outcome.verdict,
                 status=outcome.status,
--- a/src/balsamtide/agent/service_view.py
+++ b/src/balsamtide/agent/service_view.py
@@ -56,6 +56,11 @@
         found = self.by_number.get(number)
         return found[0] if found else f"target-{number}"
 
+    def zone(self, name: str) -> str:
+        """Return the availability zone of a target by its name, empty if unknown."""
+        target = self.service.targets.get(name)
+        return target.zone if target else ""
+
     def rpc_endpoint(self, number: int) -> Endpoint | None:
         """Return where the agent of a target serves RPC."""
         found = self.by_number.get(number)
--- a/src/balsamtide/agent/work.py
+++ b/src/balsamtide/agent/work.py
@@ -29,7 +29,7 @@
 from balsamtide.agent.keyed_requests import KeyedRequests
 from balsamtide.agent.metrics import FLOWS_OPEN, HANDSHAKES_OPEN
 from balsamtide.agent.peer_host import PeerHost
-from balsamtide.agent.request_handler import AgentIdentity, RequestHandler
+from balsamtide.agent.request_handler import RequestHandler
 from balsamtide.agent.request_stream import RequestStream
 from balsamtide.agent.return_path import BalancerLeases
 from balsamtide.agent.service_view import ServiceView
@@ -122,6 +122,13 @@
             hand_off=self.client,
             target_name=view.target_name,
         )
+        self.host = PeerHost(
+            dispatcher=self.dispatcher,
+            desk=self.desk,
+            runner=self.runner,
+            executor=self.executor,
+            home=self.home,
+        )
         self.engine = self._make_engine(leases)
         self.flows = FlowTask(
             engine=self.engine,
@@ -177,11 +184,10 @@
             tenure=self.tenure,
         )
         return RequestHandler(
-            identity=AgentIdentity(
-                service=own.service, target=own.target, zone=self.settings.zone
-            ),
+            service_name=own.service,
             service=lambda: self.view.service,
             version=lambda: self.node.holder.held.in_force,
+            zone=self.view.zone,
             new_request_id=self._new_request_id,
             flows=self.flows,
             executor=self.executor,
@@ -236,14 +242,7 @@
 
     async def run(self) -> None:
         """Run until cancelled, inside a trio-asyncio loop."""
-        host = PeerHost(
-            dispatcher=self.dispatcher,
-            desk=self.desk,
-            runner=self.runner,
-            executor=self.executor,
-            home=self.home,
-        )
-        services = [HandOffService(host), self.node.state_service]
+        services = [HandOffService(self.host), self.node.state_service]
         try:
             async with (
                 serve_rpc(
@@ -289,7 +288,7 @@
         self.policy.drain()
         await self.flows.drain()
         with move_on_after(timeout_s):
-            while self.engine.flows or self.handler.open_requests:
+            while self._is_busy():
                 await sleep(HOUSEKEEPING_PERIOD_S)
                 await self.flows.close_idle(idle_s=DRAIN_IDLE_S)
         cut = len(self.engine.flows)
@@ -302,6 +301,10 @@
         self._audit("ended")
         self.sink.event(AGENT_STOPPED, flows_cut=cut)
 
+    def _is_busy(self) -> bool:
+        open_requests = self.handler.open_requests + self.host.running
+        return bool(self.engine.flows or open_requests)
+
     def _audit(self, change: str, cause: str = "planned stop") -> None:
         self.sink.audit(
             AuditRecord(
--- a/src/balsamtide/balancer/balancer.py
+++ b/src/balsamtide/balancer/balancer.py
@@ -1,5 +1,6 @@
 """The role balancer: sockets towards callers and the inner link."""
 
+from dataclasses import dataclass
 from random import Random
 
 from trio import (
@@ -17,11 +18,14 @@
     BALANCER_STARTED,
     BALANCER_STOPPED,
     DATAGRAM_REFUSED,
+    LISTEN_FAILED,
 )
 from balsamtide.balancer.forwarder import Dropped, Forwarder
 from balsamtide.balancer.metrics import DATAGRAMS_DROPPED, DATAGRAMS_FORWARDED
 from balsamtide.config.holder import Held
+from balsamtide.config.model import Configuration, Service, Target
 from balsamtide.config.port import PlatformPort
+from balsamtide.membership.marks import ZONE_PREFIX
 from balsamtide.node.node import Node
 from balsamtide.node.rpc import serve_rpc, server_context
 from balsamtide.protocol.messages import Endpoint, Message, Reply
@@ -33,26 +37,43 @@
 __all__ = ["Balancer"]
 
 DRAIN_S = 3.0
+RECHECK_ALL_S = 30.0
 
 AddressKey = tuple[str, str]
 
 
-class Listener:
-    """One local endpoint that callers' datagrams arrive at.
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Place:
+    """Where callers' datagrams arrive, and for whom.
 
     Parameters
     ----------
     service : int
         Number of the service.
     address : str
-        Name of the address.
+        Name of its address.
+    local : Endpoint
+        Local endpoint.
+    """
+
+    service: int
+    address: str
+    local: Endpoint
+
+
+class Listener:
+    """The socket of one place.
+
+    Parameters
+    ----------
+    place : Place
+        What it listens for.
     socket : DatagramSocket
         Owned by this listener.
     """
 
-    def __init__(self, service: int, address: str, socket: DatagramSocket) -> None:
-        self.service = service
-        self.address = address
+    def __init__(self, place: Place, socket: DatagramSocket) -> None:
+        self.place = place
         self.socket = socket
         self.scope = CancelScope()
 
@@ -93,10 +114,13 @@
             on_other=self._ignore,
             on_change=self._use_configuration,
         )
+        self.believed: frozenset[str] = frozenset()
+        self.recheck_all_at = 0.0
+        self.is_listener_missing = False
         self.forwarder = Forwarder(
             codec=self.node.link.codec,
             ids=self.node.ids,
-            table=self._build_table(self.node.holder.held, None),
+            table=build_table(Configuration(), version=0, is_eligible=_is_never),
             version=0,
             reply_to=self.node.link.endpoint,
         )
@@ -156,12 +180,16 @@
     # Configuration
 
     def _use_configuration(self, held: Held, now: float) -> None:
-        table = self._build_table(held, self.forwarder.table)
-        self.forwarder.use_table(table, held.in_force)
-        self._sync_listeners(held)
+        table = self._build_table(held, self.forwarder.table, now)
+        is_changed = table is not self.forwarder.table
+        if is_changed:
+            self.forwarder.use_table(table, held.in_force)
+        if is_changed or self.is_listener_missing:
+            self._sync_listeners(held)
 
-    def _build_table(self, held: Held, previous: RoutingTable | None) -> RoutingTable:
-        now = current_time()
+    def _build_table(
+        self, held: Held, previous: RoutingTable | None, now: float
+    ) -> RoutingTable:
         membership = self.node.membership
         return build_table(
             held.configuration,
@@ -170,38 +198,63 @@
                 name, target, now
             ),
             previous=previous,
+            recheck=self._changed_services(now),
         )
 
+    def _changed_services(self, now: float) -> set[str] | None:
+        """Return the services whose marks differ since the last call; None for all."""
+        membership = self.node.membership
+        believed = membership.believed_subjects(now)
+        changed = believed ^ self.believed
+        self.believed = believed
+        is_full = now >= self.recheck_all_at
+        if is_full or any(s.startswith(ZONE_PREFIX) for s in changed):
+            self.recheck_all_at = now + RECHECK_ALL_S
+            return None
+        services = {membership.directory.service_of(name) for name in changed}
+        return {name for name in services if name is not None}
+
     def _sync_listeners(self, held: Held) -> None:
         wanted = {
-            (service_name, address_name): (service.number, Endpoint(a.host, a.port))
+            (service_name, name): self._make_place(service_name, service, name)
             for service_name, service in held.configuration.services.items()
-            for address_name, a in service.addresses.items()
+            for name in service.addresses
         }
-        for key in [key for key in self.listeners if key not in wanted]:
-            self._close_listener(key)
-        for key, (number, published) in wanted.items():
+        for key, listener in list(self.listeners.items()):
+            if wanted.get(key) != listener.place:
+                self._close_listener(key)
+        for key, place in wanted.items():
             if key not in self.listeners:
-                self._open_listener(key, number, self.local.get(key, published))
+                self._open_listener(key, place)
+        self.is_listener_missing = len(self.listeners) < len(wanted)
 
-    def _open_listener(self, key: AddressKey, number: int, local: Endpoint) -> None:
+    def _make_place(self, service_name: str, service: Service, name: str) -> Place:
+        address = service.addresses[name]
+        published = Endpoint(address.host, address.port)
+        local = self.local.get((service_name, name), published)
+        return Place(service=service.number, address=name, local=local)
+
+    def _open_listener(self, key: AddressKey, place: Place) -> None:
+        local = place.local
         try:
             socket = DatagramSocket(local)
         except OSError as error:
-            reason = f"cannot listen: {error.strerror}"
             self.sink.event(
-                DATAGRAM_REFUSED, reason=reason, source=f"{local.host}:{local.port}"
+                LISTEN_FAILED,
+                reason=str(error.strerror),
+                address=f"{local.host}:{local.port}",
             )
             return
-        listener = Listener(number, key[1], socket)
+        listener = Listener(place, socket)
         self.listeners[key] = listener
-        self.by_number[number, key[1]] = listener
+        self.by_number[place.service, place.address] = listener
         if self.nursery is not None:
             self.nursery.start_soon(self._listen, listener)
 
     def _close_listener(self, key: AddressKey) -> None:
         listener = self.listeners.pop(key)
-        del self.by_number[listener.service, listener.address]
+        place = listener.place
+        self.by_number.pop((place.service, place.address), None)
         listener.scope.cancel()
         listener.socket.close()
 
@@ -218,7 +271,10 @@
         self, datagram: bytes, source: tuple[str, int], listener: Listener
     ) -> None:
         result = self.forwarder.forward(
-            datagram, Endpoint(*source), listener.service, listener.address
+            datagram,
+            Endpoint(*source),
+            listener.place.service,
+            listener.place.address,
         )
         if isinstance(result, Dropped):
             reason = result.reason.value
@@ -244,3 +300,7 @@
 
     def _ignore(self, message: Message, source: Endpoint, now: float) -> None:
         """Messages among agents do not concern a balancer."""
+
+
+def _is_never(name: str, target: Target) -> bool:
+    return False
--- a/src/balsamtide/balancer/events.py
+++ b/src/balsamtide/balancer/events.py
@@ -2,7 +2,12 @@
 
 from balsamtide.telemetry.event import Event, Level
 
-__all__ = ["BALANCER_STARTED", "BALANCER_STOPPED", "DATAGRAM_REFUSED"]
+__all__ = [
+    "BALANCER_STARTED",
+    "BALANCER_STOPPED",
+    "DATAGRAM_REFUSED",
+    "LISTEN_FAILED",
+]
 
 BALANCER_STARTED = Event(
     number=401,
@@ -26,3 +31,11 @@
     "keys that differ between processes.",
     fields={"reason": "why it was dropped", "source": "IP address and port"},
 )
+LISTEN_FAILED = Event(
+    number=404,
+    name="listen-failed",
+    level=Level.ERROR,
+    meaning="A service address can't be listened on; it is tried again.",
+    action="Give the instance the address, or name a local endpoint in the settings.",
+    fields={"reason": "what the system said", "address": "local endpoint"},
+)
--- a/src/balsamtide/caller/answer.py
+++ b/src/balsamtide/caller/answer.py
@@ -45,6 +45,8 @@
         Whether the request ran.
     attempts : int
         Tries that were made.
+    key_stamp : bytes
+        Stamp that the idempotency key was sent under; a later repeat needs it.
     """
 
     status: int
@@ -52,6 +54,7 @@
     body: bytes
     verdict: Verdict
     attempts: int = 1
+    key_stamp: bytes = b""
 
     @property
     def request_id(self) -> str:
--- a/src/balsamtide/caller/caller.py
+++ b/src/balsamtide/caller/caller.py
@@ -132,6 +132,7 @@
         headers: tuple[Header, ...] = (),
         body: bytes = b"",
         idempotency_key: str | None = None,
+        stamp: bytes = b"",
         timeout_s: float = 10.0,
     ) -> Answer:
         """Send a request and return its whole answer.
@@ -139,6 +140,22 @@
         A non-idempotent request gets an idempotency key, if it has none, so that
         a repeat never runs twice.
 
+        Parameters
+        ----------
+        method, path : str
+            What is asked.
+        headers : tuple of (bytes, bytes)
+            Header fields.
+        body : bytes
+            Body.
+        idempotency_key : str or None
+            Key of a non-idempotent request.
+        stamp : bytes
+            ``key_stamp`` of an earlier try under the same key, perhaps by another
+            caller; the request is then sent as a repeat.
+        timeout_s : float
+            Time until the deadline, seconds.
+
         Raises
         ------
         AttemptsFailed
@@ -155,7 +172,7 @@
             key=key,
             deadline=deadline,
         )
-        return await self._try_repeatedly(call)
+        return await self._try_repeatedly(call, stamp)
 
     @asynccontextmanager
     async def stream(
@@ -216,10 +233,9 @@
 
     # Tries
 
-    async def _try_repeatedly(self, call: Call) -> Answer:
+    async def _try_repeatedly(self, call: Call, stamp: bytes) -> Answer:
         failures: list[RequestError] = []
-        stamp = b""
-        sent = 0
+        sent = 1 if stamp else 0
         self.budget.first_try()
         for attempt in range(1, MOST_ATTEMPTS + 1):
             try:
@@ -283,6 +299,7 @@
             body=body,
             verdict=answer.verdict,
             attempts=attempt,
+            key_stamp=stamp,
         )
 
     def _head(self, call: Call, attempt: int, stamp: bytes) -> tuple[Header, ...]:
--- a/src/balsamtide/daemon.py
+++ b/src/balsamtide/daemon.py
@@ -16,7 +16,11 @@
 from balsamtide.node.rpc import client_context
 from balsamtide.settings import SettingsError, load_settings
 from balsamtide.settings.model import Role, Settings
-from balsamtide.telemetry.admin import AdminApplication, serve_admin
+from balsamtide.telemetry.admin import (
+    AdminApplication,
+    NumberedConfiguration,
+    serve_admin,
+)
 from balsamtide.telemetry.query_rpc import Peer, PeerQuery, TelemetryService
 from balsamtide.telemetry.sink import AuditRecord
 from balsamtide.telemetry.status import Status
@@ -103,7 +107,9 @@
 
     def _admin(self) -> AdminApplication:
         if not isinstance(self.role, Agent):
-            return AdminApplication(self.telemetry, status=self.status)
+            return AdminApplication(
+                self.telemetry, status=self.status, configuration=self.configuration
+            )
         query = PeerQuery(
             self.telemetry.request_log,
             peers=self._service_peers,
@@ -115,6 +121,7 @@
             status=self.status,
             ask_summary=query.summary,
             ask_request=query.request,
+            configuration=self.configuration,
         )
 
     def _service_peers(self) -> Sequence[Peer]:
@@ -128,6 +135,13 @@
             if (endpoint := view.rpc_endpoint(target.number)) is not None
         ]
 
+    def configuration(self) -> NumberedConfiguration:
+        """Return the configuration in force here."""
+        held = self.role.node.holder.held
+        return NumberedConfiguration(
+            version=held.in_force, entry=held.number, configuration=held.configuration
+        )
+
     def status(self) -> Status:
         """Return what the daemon says of itself."""
         node = self.role.node
--- a/src/balsamtide/membership/membership.py
+++ b/src/balsamtide/membership/membership.py
@@ -388,6 +388,11 @@
             return None
         return self.view.by_endpoint.get(source)
 
+    def believed_subjects(self, now: float) -> frozenset[str]:
+        """Return the instances and zones of which a mark is believed."""
+        subjects = {mark.subject for mark in self.marks(now)}
+        return frozenset(s for s in subjects if self.table.belief(s, now) is not None)
+
     def status(self) -> MembershipStatus:
         """Return the state as of the last call with a time."""
         held = self.log.held
--- /dev/null
+++ b/tests/test_path_changes.py
@@ -0,0 +1,162 @@
+"""Tests of planned changes and faults on the whole path, over real sockets."""
+
+from collections.abc import Awaitable, Callable
+
+import pytest
+from trio import current_time, open_nursery, run, sleep
+
+from balsamtide.caller import Caller
+from balsamtide.protocol.messages import PatchOperation
+from balsamtide.protocol.verdict import Verdict
+from bench.standins.deployment import Deployment
+from tests.test_path import calling, running
+
+PARTS = 40
+LEAVING_BOUND_S = 3.0
+
+Change = Callable[[Deployment], Awaitable[None]]
+
+
+async def stop_balancer(deployment: Deployment) -> None:
+    """Stop one balancer in a planned way."""
+    deployment.stop_balancer("balancer-1")
+
+
+async def kill_balancer(deployment: Deployment) -> None:
+    """End one balancer at once."""
+    deployment.kill_balancer("balancer-2")
+
+
+async def replace_agents(deployment: Deployment) -> None:
+    """Replace both agents of the service, one after the other."""
+    async with open_nursery() as nursery:
+        nursery.start_soon(deployment.replace_agent, "quick-1")
+        await sleep(1.0)
+        nursery.start_soon(deployment.replace_agent, "quick-2")
+
+
+async def drain_target(deployment: Deployment) -> None:
+    """Drain one target by a patch."""
+    path = "/services/quick/targets/quick-1/state"
+    await deployment.publish((PatchOperation("replace", path, "draining"),))
+
+
+async def platform_down(deployment: Deployment) -> None:
+    """Take the platform away."""
+    deployment.platform.is_down = True
+
+
+CHANGES = [stop_balancer, kill_balancer, replace_agents, drain_target, platform_down]
+
+
+async def watch(caller: Caller, results: list[int]) -> None:
+    """Read one long stream and note its parts."""
+    async with caller.stream("GET", f"/watch?n={PARTS}") as answer:
+        body = b"".join([part async for part in answer.parts()])
+    results.append(body.count(b"part"))
+
+
+async def send_marks(caller: Caller, verdicts: dict[str, Verdict]) -> None:
+    """Send keyed requests for about the length of the stream."""
+    for number in range(25):
+        key = f"key-{number}"
+        answer = await caller.request("POST", "/mark", body=b"m", idempotency_key=key)
+        verdicts[key] = answer.verdict
+        await sleep(0.05)
+
+
+@pytest.mark.parametrize("change", CHANGES, ids=lambda change: change.__name__)
+def test_planned_change_cuts_nothing(tmp_path, change: Change):
+    """Streams arrive whole and marks run exactly once through each change."""
+
+    async def scenario():
+        results: list[int] = []
+        verdicts: dict[str, Verdict] = {}
+        async with (
+            running(tmp_path) as deployment,
+            calling(deployment, "quick") as first,
+            calling(deployment, "quick") as second,
+        ):
+            async with open_nursery() as nursery:
+                nursery.start_soon(watch, first, results)
+                nursery.start_soon(watch, second, results)
+                nursery.start_soon(send_marks, first, verdicts)
+                nursery.start_soon(send_marks, second, {})
+                await sleep(0.4)
+                nursery.start_soon(change, deployment)
+            record = deployment.records["quick"]
+            assert results == [PARTS, PARTS]
+            assert set(verdicts.values()) == {Verdict.RAN}
+            # Both callers use the same keys under stamps of their own.
+            assert set(record.keys.values()) == {2}
+            assert len(record.keys) == 25
+
+    run(scenario)
+
+
+def test_leaving_target_gets_no_new_work(tmp_path):
+    """After a drain by patch, a target starts nothing beyond the bound."""
+
+    async def scenario():
+        async with (
+            running(tmp_path) as deployment,
+            calling(deployment, "quick") as first,
+            calling(deployment, "quick") as second,
+        ):
+            async with open_nursery() as nursery:
+                nursery.start_soon(drain_target, deployment)
+                bound = current_time() + LEAVING_BOUND_S
+                while current_time() < bound + 1.0:
+                    for caller in (first, second):
+                        answer = await caller.request("GET", "/short/a")
+                        assert answer.verdict is Verdict.RAN
+                    await sleep(0.02)
+            assert deployment.agents["quick-1"].target.last_started <= bound
+            assert deployment.agents["quick-2"].target.last_started > bound
+
+    run(scenario)
+
+
+def test_silent_connection_is_replaced(tmp_path):
+    """A flow that goes silent for good is given up and its request repeated."""
+
+    async def scenario():
+        async with (
+            running(tmp_path) as deployment,
+            calling(deployment, "quick") as caller,
+        ):
+            await caller.request("GET", "/short/a")
+            fabric = deployment.fabrics["quick"]
+            fabric.black_holes.update(fabric.upstream)
+            answer = await caller.request("GET", "/short/b", timeout_s=20.0)
+            assert answer.body == b"/short/b|"
+            mark = await caller.request("POST", "/mark", idempotency_key="k")
+            assert mark.verdict is Verdict.RAN
+            assert deployment.records["quick"].keys == {"k": 1}
+
+    run(scenario)
+
+
+def test_repeat_after_a_planned_stop_is_replayed_by_the_successor(tmp_path):
+    """A key that ran before its home stopped is answered and not run again."""
+
+    async def scenario():
+        async with (
+            running(tmp_path) as deployment,
+            calling(deployment, "quick") as caller,
+            calling(deployment, "quick") as other,
+        ):
+            mark = await caller.request("POST", "/mark", body=b"m", idempotency_key="k")
+            home = mark.request_id.rsplit("-", 1)[0]
+            await deployment.replace_agent(home)
+            answer = await other.request(
+                "POST",
+                "/mark",
+                body=b"m",
+                idempotency_key="k",
+                stamp=mark.key_stamp,
+            )
+            assert (answer.status, answer.verdict) == (200, Verdict.RAN)
+            assert deployment.records["quick"].keys == {"k": 1}
+
+    run(scenario)
