--- a/src/balsamtide/admission/deadline_admission.py
+++ b/src/balsamtide/admission/deadline_admission.py
@@ -321,6 +321,8 @@
     def reports(self, now: float) -> Sequence[Send]:
         """Return the load reports that are due; call it after every other call."""
         self.usage.update(self.slots.held / self.own.slots, now)
+        if not self.schedule.can_send(len(self.neighbours), now):
+            return ()
         report = self.report(now)
         if not self.schedule.is_due(report, len(self.neighbours), now):
             return ()
--- a/src/balsamtide/admission/report_schedule.py
+++ b/src/balsamtide/admission/report_schedule.py
@@ -26,18 +26,19 @@
         self.due_at = now
         self.sent: tuple[int, int, int, str] | None = None
 
+    def can_send(self, peers: int, now: float) -> bool:
+        """Tell whether the budget allows a report to ``peers`` peers now."""
+        self._fill(now)
+        return peers > 0 and self.tokens >= REPORT_BYTES * peers
+
     def is_due(self, report: LoadReport, peers: int, now: float) -> bool:
         """Tell whether ``report`` goes to ``peers`` peers now, and account for it."""
-        if not peers:
+        if not self.can_send(peers, now):
             return False
-        self._fill(now)
         content = self._content(report)
         if content == self.sent and now < self.due_at:
             return False
-        cost = REPORT_BYTES * peers
-        if self.tokens < cost:
-            return False
-        self.tokens -= cost
+        self.tokens -= REPORT_BYTES * peers
         self.sent = content
         self.due_at = now + PERIOD_S
         return True
