Name the rows of the forwarder's table, and restore the soak profile

Cause: rows with random connection IDs got random names, so pytest-xdist collected different tests in its workers and the whole run failed (4 errors in 9.9 s). Change: fixed names; the profile that bench.soak asks for is registered again.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -12,4 +12,12 @@
     "ci", derandomize=True, deadline=None, database=None, phases=QUICK_PHASES
 )
 settings.register_profile("shrink", derandomize=True, deadline=None, database=None)
+# For bench.soak, which gives the seed and the number of examples.
+settings.register_profile(
+    "soak",
+    max_examples=int(environ.get("BALSAMTIDE_SOAK_EXAMPLES", "1000")),
+    deadline=None,
+    database=None,
+    phases=QUICK_PHASES,
+)
 settings.load_profile(environ.get("HYPOTHESIS_PROFILE", "ci"))
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -90,6 +90,20 @@
         (initial(b"123"), 1, DropReason.NOT_QUIC),
         (b"\xc0\0\0\0\1\x15" + b"x" * 60, 1, DropReason.NOT_QUIC),
     ],
+    ids=[
+        "short",
+        "other-service",
+        "initial",
+        "short-to-wrong-service",
+        "initial-to-wrong-service",
+        "unknown-target",
+        "unknown-service",
+        "forged",
+        "empty",
+        "zeros",
+        "short-first-id",
+        "long-id",
+    ],
 )
 def test_each_datagram_goes_where_its_id_says(datagram, service, expected):
     """A datagram goes to the agent that its ID names, within its service only."""
