--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -19,8 +19,12 @@
 
 CALLER = Endpoint("10.0.0.1", 9)
 CODEC = DatagramCodec(MacKeys(current=1, keys={1: b"m" * 32}))
-IDS = ConnectionIdCodec(IdKeys(current=0, keys={0: b"i" * 16}))
-FORGED = ConnectionIdCodec(IdKeys(current=0, keys={0: b"f" * 16}))
+IDS = ConnectionIdCodec(
+    IdKeys(current=0, keys={0: b"i" * 16}), random=Random(1).randbytes
+)
+FORGED = ConnectionIdCodec(
+    IdKeys(current=0, keys={0: b"f" * 16}), random=Random(2).randbytes
+)
 AGENT_PORTS = {1: (101, 102, 103), 2: (201, 202)}
 HOSTILE_DATAGRAMS = 20_000
 
@@ -90,6 +94,20 @@
         (initial(b"123"), 1, DropReason.NOT_QUIC),
         (b"\xc0\0\0\0\1\x15" + b"x" * 60, 1, DropReason.NOT_QUIC),
     ],
+    ids=[
+        "short",
+        "other-service",
+        "initial-with-our-id",
+        "short-to-wrong-service",
+        "initial-to-wrong-service",
+        "unknown-target",
+        "unknown-service",
+        "forged",
+        "empty",
+        "no-fixed-bit",
+        "short-first-id",
+        "id-too-long",
+    ],
 )
 def test_each_datagram_goes_where_its_id_says(datagram, service, expected):
     """A datagram goes to the agent that its ID names, within its service only."""
