--- a/bench/measures/liveness.py
+++ b/bench/measures/liveness.py
@@ -13,6 +13,7 @@
 from balsamtide.membership import PushWithExchange
 from balsamtide.membership.events import MARK_MADE
 from balsamtide.membership.marks import SUSPECT
+from balsamtide.membership.pacing import LONGEST_LIST_PERIOD_S
 from bench.figures import Figure
 from bench.measures.epidemic import (
     DAY_S,
@@ -23,6 +24,7 @@
     make_fleet,
     measure_spread,
 )
+from bench.measures.platform_reads import list_bytes
 from bench.standins.members import Fleet, Member
 from bench.standins.services import make_full_fleet
 
@@ -198,6 +200,13 @@
     marks_per_s = (FAILURE_MARKS + LEAVING_MARKS) / DAY_S
     octets = extrapolate(SIZES, [each.octets for each in results], FLEET)
     octets += entry.octets + marks_per_s * mark.octets
+    list_octets = list_bytes(FLEET) / LONGEST_LIST_PERIOD_S
+    yield Figure(
+        name="membership: list of 75000 once an hour",
+        figure=list_octets,
+        unit="B/s member",
+    )
+    octets += list_octets
     messages = extrapolate(SIZES, [each.messages for each in results], FLEET)
     messages += entry.messages + marks_per_s * mark.messages
     cpu_us = extrapolate(SIZES, [each.cpu_us for each in results], FLEET)
--- a/bench/measures/platform_reads.py
+++ b/bench/measures/platform_reads.py
@@ -24,7 +24,7 @@
 from bench.standins.members import make_instances
 from bench.standins.services import make_full_fleet
 
-__all__ = ["figures"]
+__all__ = ["figures", "list_bytes"]
 
 ZONES = 13
 TODAY = 26
@@ -170,8 +170,12 @@
 
 def list_pieces(fleet_size: int) -> float:
     """Return the reads that one list takes, at a megabyte each."""
-    line_bytes = len(encode(make_instances(1)[0]))
-    return max(1.0, fleet_size * line_bytes / PIECE_BYTES)
+    return max(1.0, list_bytes(fleet_size) / PIECE_BYTES)
+
+
+def list_bytes(fleet_size: int) -> int:
+    """Return the octets of the list of instances as JSON."""
+    return fleet_size * len(encode(make_instances(1)[0]))
 
 
 def figures() -> Iterator[Figure]:
