--- a/bench/measures/liveness.py
+++ b/bench/measures/liveness.py
@@ -307,7 +307,7 @@
 
 
 def _faults() -> Iterator[Figure]:
-    subject = f"liveness: {FAULT_SIZE} members, 5% loss"
+    subject = f"liveness: {FAULT_SIZE}, 5% loss"
     leaving_s = _time_of_leaving()
     yield Figure(
         name=f"{subject}: leaving known to all",
