--- a/src/balsamtide/requests/hand_off_client.py
+++ b/src/balsamtide/requests/hand_off_client.py
@@ -1,5 +1,10 @@
-"""The taker's side of hand-offs over grpclib."""
+"""The taker's side of hand-offs over grpclib.
 
+Each exchange is one asyncio coroutine, as crossing between trio and asyncio costs more
+than the messages themselves; only the body, the answer and the result cross.
+"""
+
+from asyncio import create_task, timeout
 from collections.abc import AsyncIterator, Callable, Sequence
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass
@@ -14,11 +19,9 @@
     CancelScope,
     ClosedResourceError,
     current_time,
-    move_on_after,
-    move_on_at,
     open_nursery,
 )
-from trio_asyncio import aio_as_trio
+from trio_asyncio import aio_as_trio, trio_as_aio
 
 from balsamtide.protocol.errors import DecodeError
 from balsamtide.protocol.messages import Endpoint
@@ -114,38 +117,52 @@
     What goes wrong on the way out is ignored, as the outcome is known by then.
     """
     context = method.open()
-    stream = await aio_as_trio(context.__aenter__)()
-    error: BaseException | None = None
+    stream = await context.__aenter__()
     try:
         yield stream
-    except BaseException as raised:
-        error = raised
+    except BaseException as error:
+        with suppress(*LOST):
+            await context.__aexit__(type(error), error, None)
         raise
-    finally:
-        cause = type(error) if error else None
-        with suppress(*LOST), CancelScope(shield=True), move_on_after(CLOSE_S):
-            await aio_as_trio(context.__aexit__)(cause, error, None)
+    with suppress(*LOST, TimeoutError):
+        async with timeout(CLOSE_S):
+            await context.__aexit__(None, None, None)
 
 
-async def _receive(stream: Any, deadline: float) -> FromGiver | None:
+async def _receive(stream: Any) -> FromGiver | None:
     """Return the next message that is no beat, None when the peer is silent."""
-    receive = aio_as_trio(stream.recv_message)
     while True:
-        message: FromGiver | None = None
-        with move_on_at(min(deadline, current_time() + SILENCE_S)):
-            message = await receive()
-            if message is None:
-                raise ProtocolError("stream ended without an outcome")
+        try:
+            async with timeout(SILENCE_S):
+                message: FromGiver | None = await stream.recv_message()
+        except TimeoutError:
+            return None
+        if message is None:
+            raise ProtocolError("stream ended without an outcome")
         if not isinstance(message, Beat):
             return message
 
 
+async def _receive_reply(stream: Any, message: Any, seconds: float) -> Any:
+    """Send a message and return the reply, None if none comes in time."""
+    try:
+        async with timeout(seconds):
+            await stream.send_message(message)
+            return await stream.recv_message()
+    except TimeoutError:
+        return None
+
+
 async def _pump(stream: Any, body: AsyncIterator[bytes]) -> None:
-    send = aio_as_trio(stream.send_message)
+    read = trio_as_aio(body.__anext__)
     try:
-        async for chunk in body:
-            await send(BodyPart(chunk))
-        await aio_as_trio(stream.end)()
+        while True:
+            try:
+                chunk = await read()
+            except StopAsyncIteration:
+                break
+            await stream.send_message(BodyPart(chunk))
+        await stream.end()
     except LOST:
         # The receiving side sees the loss too and has the verdict.
         return
@@ -154,33 +171,32 @@
 async def _pass_answer(
     stream: Any, taker: Taker, answer: AnswerWriter, first: FromGiver | None
 ) -> Outcome:
-    """Pass the answer on until the outcome; silence and loss get their verdict."""
-    message = first or await _receive(stream, float("inf"))
+    """Pass the answer on until the outcome; silence gets its verdict."""
+    message = first or await _receive(stream)
     while not isinstance(message, Finished):
         match message:
             case AnswerHead(status, headers):
                 taker.answer_started()
-                await answer.start(status, headers)
+                await trio_as_aio(answer.start)(status, headers)
             case AnswerPart(octets):
-                await answer.write(octets)
+                await trio_as_aio(answer.write)(octets)
             case None:
                 return taker.lost(is_silent=True).outcome()
             case _:
                 raise ProtocolError(f"unexpected {type(message).__name__}")
-        message = await _receive(stream, float("inf"))
+        message = await _receive(stream)
     return outcome_of(message)
 
 
 async def _exchange_parts(stream: Any, taker: Taker, parts: RequestParts) -> Outcome:
     """Send the body and pass the answer on at the same time."""
-    async with open_nursery() as nursery:
-        nursery.start_soon(_pump, stream, parts.body)
-        try:
-            outcome = await _pass_answer(stream, taker, parts.answer, None)
-        except LOST:
-            outcome = taker.lost(is_silent=False).outcome()
-        nursery.cancel_scope.cancel()
-    return outcome
+    pump = create_task(_pump(stream, parts.body))
+    try:
+        return await _pass_answer(stream, taker, parts.answer, None)
+    except LOST:
+        return taker.lost(is_silent=False).outcome()
+    finally:
+        pump.cancel()
 
 
 class HandOffClient:
@@ -267,22 +283,26 @@
 
     async def send_ledger(self, target: int, image: LedgerImage) -> LedgerTransfer:
         """Send a closed ledger to its successor."""
-        is_sent = False
         try:
             method: Any = StreamUnaryMethod(
                 self.channel(target), LEDGER_METHOD, LedgerPiece, LedgerTaken
             )
-            with move_on_after(SILENCE_S):
-                async with _open(method) as stream:
-                    await aio_as_trio(stream.send_request)()
-                    is_sent = True
-                    return await self._send_pieces(stream, image)
-        except (*LOST, HandOffError):
-            pass
-        return LedgerTransfer.UNSURE if is_sent else LedgerTransfer.NOT_SENT
+        except HandOffError:
+            return LedgerTransfer.NOT_SENT
+        return await aio_as_trio(self._send_ledger)(method, image)
+
+    async def _send_ledger(self, method: Any, image: LedgerImage) -> LedgerTransfer:
+        """Send an image; an asyncio coroutine."""
+        is_sent = False
+        try:
+            async with timeout(SILENCE_S), _open(method) as stream:
+                await stream.send_request()
+                is_sent = True
+                return await self._send_pieces(stream, image)
+        except (*LOST, TimeoutError):
+            return LedgerTransfer.UNSURE if is_sent else LedgerTransfer.NOT_SENT
 
     async def _send_pieces(self, stream: Any, image: LedgerImage) -> LedgerTransfer:
-        send = aio_as_trio(stream.send_message)
         for first in range(0, max(1, len(image.entries)), PIECE_ENTRIES):
             piece = LedgerPiece(
                 image.target,
@@ -291,9 +311,9 @@
                 image.entries[first : first + PIECE_ENTRIES],
                 first + PIECE_ENTRIES >= len(image.entries),
             )
-            await send(piece)
-        await aio_as_trio(stream.end)()
-        reply = await aio_as_trio(stream.recv_message)()
+            await stream.send_message(piece)
+        await stream.end()
+        reply = await stream.recv_message()
         if reply is None:
             return LedgerTransfer.UNSURE
         return LedgerTransfer.ADOPTED if reply.is_adopted else LedgerTransfer.REFUSED
@@ -358,7 +378,9 @@
         with CancelScope() as scope:
             race.scopes[target] = scope
             try:
-                race.outcome = await self._attempt(target, race, parts)
+                method = self.client.exchange(target)
+                attempt = aio_as_trio(self._attempt)
+                race.outcome = await attempt(method, target, race, parts)
             except GrantError as error:
                 self.attempts.append(error)
 
@@ -368,11 +390,13 @@
         return AttemptsFailed("no peer took the request", self.attempts)
 
     async def _attempt(
-        self, target: int, race: "_Race", parts: RequestParts
+        self, method: Any, target: int, race: "_Race", parts: RequestParts
     ) -> Outcome:
-        """Raise ``GrantError`` as long as nothing but the offer was sent."""
+        """Run one exchange; an asyncio coroutine.
+
+        Raises ``GrantError`` as long as nothing but the offer was sent.
+        """
         taker = Taker(parts.facts, current_time())
-        method = self.client.exchange(target)
         try:
             async with _open(method) as stream:
                 await self._offer(stream, taker, target)
@@ -386,10 +410,8 @@
 
     async def _offer(self, stream: Any, taker: Taker, target: int) -> None:
         sent_at = current_time()
-        reply: FromGiver | None = None
-        with move_on_at(taker.answer_deadline):
-            await aio_as_trio(stream.send_message)(taker.offer(sent_at))
-            reply = await aio_as_trio(stream.recv_message)()
+        seconds = taker.answer_deadline - sent_at
+        reply = await _receive_reply(stream, taker.offer(sent_at), seconds)
         now = current_time()
         self._report_reply(target, isinstance(reply, Granted), now - sent_at)
         if isinstance(reply, Denied):
@@ -414,7 +436,7 @@
         self.target = target
         remaining = card_of(parts.facts, now).remaining_us
         run = Run(parts.head.path, parts.head.headers, remaining)
-        await aio_as_trio(stream.send_message)(run)
+        await stream.send_message(run)
         outcome = await _exchange_parts(stream, taker, parts)
         if outcome.verdict is Verdict.NOT_RUN:
             self._take_back()
@@ -457,7 +479,9 @@
         for target in self.ask.targets:
             taker = Taker(facts, current_time())
             try:
-                outcome = await self._attempt(target, taker, parts)
+                method = self.client.exchange(target)
+                attempt = aio_as_trio(self._attempt)
+                outcome = await attempt(method, taker, parts)
             except (*LOST, HandOffError):
                 outcome = Exit.HOME_UNREACHABLE.outcome()
             if taker.state is TakerState.ANSWERING and not outcome.is_complete:
@@ -467,18 +491,17 @@
                 return outcome
         return outcome
 
-    async def _attempt(self, target: int, taker: Taker, parts: RequestParts) -> Outcome:
+    async def _attempt(self, method: Any, taker: Taker, parts: RequestParts) -> Outcome:
+        """Ask one candidate; an asyncio coroutine."""
+        now = current_time()
         ask = AskRun(
-            card_of(parts.facts, current_time()),
+            card_of(parts.facts, now),
             self.ask.stamp,
             parts.head.path,
             parts.head.headers,
         )
-        async with _open(self.client.exchange(target)) as stream:
-            reply: FromGiver | None = None
-            with move_on_at(taker.home_deadline):
-                await aio_as_trio(stream.send_message)(ask)
-                reply = await aio_as_trio(stream.recv_message)()
+        async with _open(method) as stream:
+            reply = await _receive_reply(stream, ask, taker.home_deadline - now)
             if reply is None:
                 return Exit.HOME_UNREACHABLE.outcome()
             if not isinstance(reply, Granted):
--- a/src/balsamtide/requests/hand_off_server.py
+++ b/src/balsamtide/requests/hand_off_server.py
@@ -4,15 +4,16 @@
 can share the server.
 """
 
-from collections.abc import AsyncIterator
+from asyncio import timeout
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import suppress
+from functools import partial
 from typing import Any
 
 from grpclib.const import Cardinality, Handler
 from trio import (
     Lock,
     current_time,
-    move_on_after,
-    move_on_at,
     open_nursery,
     sleep_until,
 )
@@ -122,23 +123,17 @@
 
     async def exchange(self, stream: Any) -> None:
         """Serve one hand-off or one repeat; an asyncio handler."""
-        await trio_as_aio(self._exchange)(stream)
-
-    async def _exchange(self, stream: Any) -> None:
-        answer = StreamAnswer(stream)
-        match await aio_as_trio(stream.recv_message)():
+        match await stream.recv_message():
             case Offer() as offer:
-                await self._serve_offer(offer, stream, answer)
+                await self._serve_offer(offer, stream)
             case AskRun() as ask:
-                await self._serve_repeat(ask, stream, answer)
+                await trio_as_aio(self._serve_repeat)(ask, stream)
 
-    async def _serve_offer(
-        self, offer: Offer, stream: Any, answer: StreamAnswer
-    ) -> None:
+    async def _serve_offer(self, offer: Offer, stream: Any) -> None:
         giver = Giver(offer, current_time())
         is_started = False
         try:
-            run = await self._grant(giver, stream, answer)
+            run = await self._grant(giver, stream)
             is_started = run is not None
         finally:
             if not is_started:
@@ -146,36 +141,32 @@
         if run is None:
             return
         head = RequestHead(giver.facts.method, run.path, run.headers)
-        body = _body(stream)
-        outcome = await self._run(
-            answer, self.host.run_granted, giver.facts, head, body
-        )
-        await answer.send(finished_of(outcome))
+        run_granted = partial(self.host.run_granted, giver.facts, head)
+        outcome = await trio_as_aio(self._run)(stream, run_granted)
+        await stream.send_message(finished_of(outcome))
 
-    async def _grant(
-        self, giver: Giver, stream: Any, answer: StreamAnswer
-    ) -> Run | None:
+    async def _grant(self, giver: Giver, stream: Any) -> Run | None:
         """Grant a slot and return the run message that used it."""
-        is_granted = await self.host.offer(
+        is_granted = await trio_as_aio(self.host.offer)(
             giver.facts, giver.grant_deadline, giver.wait_deadline
         )
         if not is_granted:
-            await answer.send(Denied("no-slot"))
+            await stream.send_message(Denied("no-slot"))
             return None
         grant = giver.granted(current_time())
         message = None
-        with move_on_at(giver.grant_deadline):
-            await answer.send(grant)
-            message = await aio_as_trio(stream.recv_message)()
+        with suppress(TimeoutError):
+            async with timeout(giver.grant_deadline - current_time()):
+                await stream.send_message(grant)
+                message = await stream.recv_message()
         is_used = isinstance(message, Run) and giver.use(current_time())
         if is_used and self.host.use_grant(giver.facts.request_id):
             return message
-        await answer.send(finished_of(Exit.GRANT_EXPIRED.outcome()))
+        await stream.send_message(finished_of(Exit.GRANT_EXPIRED.outcome()))
         return None
 
-    async def _serve_repeat(
-        self, ask: AskRun, stream: Any, answer: StreamAnswer
-    ) -> None:
+    async def _serve_repeat(self, ask: AskRun, stream: Any) -> None:
+        answer = StreamAnswer(stream)
         facts = facts_of(ask.card, current_time())
         decision = self.host.decide_asked(facts, ask.stamp)
         match decision:
@@ -186,10 +177,8 @@
             case RunHere():
                 await answer.send(Granted(0))
                 head = RequestHead(facts.method, ask.path, ask.headers)
-                body = _body(stream)
-                outcome = await self._run(
-                    answer, self.host.run_repeat, facts, decision, head, body
-                )
+                run = partial(self.host.run_repeat, facts, decision, head)
+                outcome = await self._run(stream, run)
             case Refuse(refusal):
                 outcome = Outcome(
                     verdict=refusal.verdict,
@@ -201,29 +190,32 @@
                 outcome = Exit.TENURE_GONE.outcome()
         await answer.send(finished_of(outcome))
 
-    async def _run(self, answer: StreamAnswer, run: Any, *arguments: Any) -> Outcome:
+    async def _run(
+        self,
+        stream: Any,
+        run: Callable[[AsyncIterator[bytes], AnswerWriter], Awaitable[Outcome]],
+    ) -> Outcome:
+        """Run a request with signs of life until it ends."""
+        answer = StreamAnswer(stream)
         async with open_nursery() as nursery:
             nursery.start_soon(answer.beat)
-            outcome: Outcome = await run(*arguments, answer)
+            outcome = await run(_body(stream), answer)
             nursery.cancel_scope.cancel()
         return outcome
 
     async def take_ledger(self, stream: Any) -> None:
         """Take the pieces of a closed ledger; an asyncio handler."""
-        await trio_as_aio(self._take_ledger)(stream)
-
-    async def _take_ledger(self, stream: Any) -> None:
         image = await self._receive_image(stream)
         is_adopted = image is not None and self.host.adopt(image)
-        await aio_as_trio(stream.send_message)(LedgerTaken(is_adopted))
+        await stream.send_message(LedgerTaken(is_adopted))
 
     async def _receive_image(self, stream: Any) -> LedgerImage | None:
-        receive = aio_as_trio(stream.recv_message)
         entries: list[Any] = []
         while True:
             piece = None
-            with move_on_after(SILENCE_S):
-                piece = await receive()
+            with suppress(TimeoutError):
+                async with timeout(SILENCE_S):
+                    piece = await stream.recv_message()
             if piece is None or len(entries) > MOST_LEDGER_ENTRIES:
                 return None
             entries.extend(piece.entries)
--- /dev/null
+++ b/src/balsamtide/requests/hand_over.py
@@ -0,0 +1,70 @@
+"""Moves the closed ledgers of an agent to a successor on a planned stop."""
+
+from collections.abc import Sequence
+
+from trio import current_time
+
+from balsamtide.protocol.messages import TenureClosed
+from balsamtide.requests.hand_off_client import HandOffClient
+from balsamtide.requests.home import Home
+from balsamtide.requests.ledger import LedgerImage
+from balsamtide.requests.succession import Succession
+
+__all__ = ["hand_over_ledgers"]
+
+
+async def hand_over_ledgers(
+    client: HandOffClient,
+    home: Home,
+    candidates: Sequence[int],
+    *,
+    instance: str,
+    incarnation: int,
+) -> Sequence[TenureClosed]:
+    """Send each ledger of a closed home to one successor.
+
+    Call it once, after ``Home.close`` and after the last started request ended; what
+    is still in progress then becomes ``MAY_HAVE_RUN``.
+
+    Parameters
+    ----------
+    client : HandOffClient
+        Connections to the peers.
+    home : Home
+        The closed home.
+    candidates : sequence of int
+        Target numbers in the order of ``successors``.
+    instance : str
+        Instance identifier, for the announcements.
+    incarnation : int
+        Incarnation of the process, for the announcements.
+
+    Returns
+    -------
+    announcements : sequence of TenureClosed
+        What to tell the peers of the service.
+    """
+    announcements = []
+    for ledger in (home.ledger, *home.adopted.values()):
+        image = ledger.image(current_time())
+        successor = await _send(client, image, Succession(candidates))
+        if successor is not None:
+            announcements.append(
+                TenureClosed(
+                    instance,
+                    incarnation,
+                    home.service,
+                    image.target,
+                    image.tenure,
+                    successor,
+                )
+            )
+    return announcements
+
+
+async def _send(
+    client: HandOffClient, image: LedgerImage, succession: Succession
+) -> int | None:
+    while (candidate := succession.candidate) is not None:
+        succession.record(await client.send_ledger(candidate, image))
+    return succession.successor
--- a/tests/test_requests_hand_off.py
+++ b/tests/test_requests_hand_off.py
@@ -1,5 +1,6 @@
 """The hand-off over grpclib, in virtual time."""
 
+from asyncio import sleep
 from dataclasses import replace
 
 import trio
@@ -7,11 +8,12 @@
 from trio.testing import MockClock
 from trio_asyncio import aio_as_trio
 
-from balsamtide.protocol.messages import Endpoint
+from balsamtide.protocol.messages import Endpoint, TenureClosed
 from balsamtide.protocol.verdict import Verdict
 from balsamtide.requests.exits import Exit
 from balsamtide.requests.hand_off import GRANT_S, Giver, Taker
 from balsamtide.requests.hand_off_client import _open
+from balsamtide.requests.hand_over import hand_over_ledgers
 from balsamtide.requests.home import AskHome, Home, KeyedRun
 from balsamtide.requests.ledger import (
     Entry,
@@ -24,7 +26,7 @@
 from balsamtide.requests.model import Outcome
 from balsamtide.requests.runner import RequestHead
 from balsamtide.requests.stamp import Stamp
-from balsamtide.requests.succession import LedgerTransfer
+from balsamtide.requests.succession import LedgerTransfer, Succession
 from tests.fakes_hand_off import NUMBER, FakeHost, KeptAnswer, chunks, serving
 from tests.fakes_requests import make_request
 
@@ -250,14 +252,17 @@
     """A reservation is freed when the taker doesn't use it."""
 
     async def scenario(client):
-        async with _open(client.exchange(NUMBER)) as stream:
-            offer = Taker(FACTS, trio.current_time()).offer(trio.current_time())
-            await aio_as_trio(stream.send_message)(offer)
-            await aio_as_trio(stream.recv_message)()
-            await trio.sleep(GRANT_S * 2)
-            reply = await aio_as_trio(stream.recv_message)()
-            await aio_as_trio(stream.end)()
-            return reply
+        async def exchange(method):
+            async with _open(method) as stream:
+                now = trio.current_time()
+                await stream.send_message(Taker(FACTS, now).offer(now))
+                await stream.recv_message()
+                await sleep(GRANT_S * 2)
+                reply = await stream.recv_message()
+                await stream.end()
+                return reply
+
+        return await aio_as_trio(exchange)(client.exchange(NUMBER))
 
     host = FakeHost()
     reply = run(scenario, host)
@@ -360,3 +365,40 @@
         return await client.send_ledger(8, ledger.image(0.0))
 
     assert run(scenario, FakeHost()) is LedgerTransfer.NOT_SENT
+
+
+def test_planned_stop_passes_unreachable_candidates():
+    """A stopping agent tries candidates in turn and announces the one that adopted."""
+    old = Home(1, Ledger(target=1, tenure=5))
+    old.close()
+
+    async def scenario(client):
+        client.endpoints[8] = Endpoint("127.0.0.1", 1)
+        return await hand_over_ledgers(
+            client, old, (9, 8, NUMBER), instance="i", incarnation=2
+        )
+
+    host = FakeHost()
+    (announcement,) = run(scenario, host)
+    assert announcement == TenureClosed("i", 2, 1, 1, 5, NUMBER)
+    assert 5 in host.home.adopted
+
+
+@mark.parametrize(
+    ("results", "successor", "tried"),
+    [
+        ((LedgerTransfer.ADOPTED,), 2, 1),
+        ((LedgerTransfer.UNSURE,), 2, 1),
+        ((LedgerTransfer.REFUSED, LedgerTransfer.ADOPTED), 3, 2),
+        ((LedgerTransfer.NOT_SENT, LedgerTransfer.UNSURE), 3, 2),
+        ((LedgerTransfer.REFUSED, LedgerTransfer.NOT_SENT), None, 2),
+    ],
+)
+def test_one_successor_at_most(results, successor, tried):
+    """After a transfer that may have arrived no other candidate is tried."""
+    succession = Succession((2, 3))
+    count = 0
+    while succession.candidate is not None:
+        succession.record(results[count])
+        count += 1
+    assert (succession.successor, count) == (successor, tried)
