--- a/bench/measures/routing.py
+++ b/bench/measures/routing.py
@@ -1,7 +1,7 @@
 """Maglev and weighted rendezvous hashing, today and at the size to come."""
 
 from collections import Counter
-from collections.abc import Callable, Container, Iterable, Iterator, Sequence
+from collections.abc import Callable, Collection, Iterable, Iterator, Sequence
 from functools import partial
 from gc import collect
 from random import Random
@@ -96,7 +96,7 @@
     configuration: Configuration,
     picker: PickerFactory,
     previous: RoutingTable | None = None,
-    recheck: Container[str] | None = None,
+    recheck: Collection[str] | None = None,
 ) -> RoutingTable:
     return build_table(
         configuration,
@@ -131,7 +131,7 @@
 
 
 def _rebuild_ms(
-    configuration: Configuration, recheck: Container[str] | None, picker: PickerFactory
+    configuration: Configuration, recheck: Collection[str] | None, picker: PickerFactory
 ) -> float:
     """Return the time to follow a change of one target, with a first pick."""
     table = _build(configuration, picker)
@@ -145,27 +145,37 @@
     return _median_time(rebuild) * 1000
 
 
+def _refresh_us(
+    configuration: Configuration, recheck: Collection[str] | None, picker: PickerFactory
+) -> float:
+    """Return the time to look for changes of liveness where there are none."""
+    table = _build(configuration, picker)
+    return MICROSECONDS * _median_time(
+        lambda: _build(configuration, picker, table, recheck)
+    )
+
+
 Quantity = Callable[[PickerFactory], float]
 
 
-def _compared(name: str, unit: str, quantity: Quantity) -> Iterator[Figure]:
+def _compared(
+    name: str, unit: str, quantity: Quantity, labels: Sequence[str]
+) -> Iterator[Figure]:
     baseline = quantity(PICKERS[BASELINE])
     yield Figure(name=f"{BASELINE}: {name}", figure=baseline, unit=unit)
-    for label, picker in PICKERS.items():
-        if label != BASELINE:
-            yield Figure(
-                name=f"{label}: {name}",
-                figure=quantity(picker),
-                unit=unit,
-                baseline=baseline,
-            )
+    for label in labels:
+        yield Figure(
+            name=f"{label}: {name}",
+            figure=quantity(PICKERS[label]),
+            unit=unit,
+            baseline=baseline,
+        )
 
 
-def _quantities() -> Iterator[tuple[str, str, Quantity]]:
+def _today() -> Iterator[tuple[str, str, Quantity]]:
     today = _candidates([100] * TODAY_TARGETS)
     uneven = _candidates([50, 100, 100, 100, 100, 200, 400])
     lighter = _candidates([50, *[100] * (TODAY_TARGETS - 1)])
-    large = fleet(targets=TARGETS, services=SERVICES)
     yield (
         "excess moves, 1 of 7 lost",
         "% of keys",
@@ -196,6 +206,10 @@
         "us CPU",
         lambda picker: _lookup_us(picker, uneven),
     )
+
+
+def _to_come() -> Iterator[tuple[str, str, Quantity]]:
+    large = fleet(targets=TARGETS, services=SERVICES)
     yield "table, all picked, 65,000", "MB", partial(_memory_mb, large)
     yield "full build, all picked, 65,000", "s CPU", partial(_full_build_s, large)
     yield (
@@ -208,9 +222,21 @@
         "ms CPU",
         partial(_rebuild_ms, large, ()),
     )
+    yield (
+        "refresh, all services rechecked, 65,000",
+        "us CPU",
+        partial(_refresh_us, large, None),
+    )
+    yield (
+        "refresh, 2 services rechecked, 65,000",
+        "us CPU",
+        partial(_refresh_us, large, ("service-1", "service-2")),
+    )
 
 
 def figures() -> Iterable[Figure]:
     """Measure both pickers."""
-    for name, unit, quantity in _quantities():
-        yield from _compared(name, unit, quantity)
+    for name, unit, quantity in _today():
+        yield from _compared(name, unit, quantity, ("maglev 251", "maglev 1009"))
+    for name, unit, quantity in _to_come():
+        yield from _compared(name, unit, quantity, ("maglev 1009",))
