Let callers of the flow test try again after a rejection

Ruled out: two handshakes mixing at one caller (one flow was opened per agent). Change: a caller whose request no agent began, on a drained target, opens a new flow; a reset of anything else fails as nothing_cut.

--- a/tests/test_failures_flows.py
+++ b/tests/test_failures_flows.py
@@ -11,10 +11,11 @@
 from pathlib import Path
 from tempfile import TemporaryDirectory
 
-from aioquic.h3.connection import H3_ALPN, H3Connection
+from aioquic.h3.connection import H3_ALPN, ErrorCode, H3Connection
 from aioquic.h3.events import DataReceived
 from aioquic.quic.configuration import QuicConfiguration
 from aioquic.quic.connection import QuicConnection
+from aioquic.quic.events import StreamReset
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -111,11 +112,12 @@
 
     number: int
     service: int
-    connection: QuicConnection
+    configuration: QuicConfiguration
+    connection: QuicConnection | None = None
     http: H3Connection | None = None
     body: bytes = b""
     is_whole: bool = False
-    is_over: bool = False
+    is_begun: bool = False
 
     @property
     def endpoint(self):
@@ -187,10 +189,13 @@
             is_client=True, alpn_protocols=H3_ALPN, server_name=NAME
         )
         configuration.load_verify_locations(cadata=AUTHORITY)
-        client = Client(
-            len(self.clients), service, QuicConnection(configuration=configuration)
-        )
+        client = Client(len(self.clients), service, configuration)
         self.clients.append(client)
+        self.open(client)
+
+    def open(self, client):
+        """Open a flow for a caller and send its request."""
+        client.connection = QuicConnection(configuration=client.configuration)
         client.connection.connect(("10.9.0.1", 443), now=self.now)
         client.http = H3Connection(client.connection)
         client.http.send_headers(
@@ -225,12 +230,22 @@
             self._pass(client, data, True, fate())
         event = client.connection.next_event()
         while event is not None:
+            if isinstance(event, StreamReset):
+                self._try_again(client, event)
+                return
             for h3_event in client.http.handle_event(event):
                 if isinstance(h3_event, DataReceived):
                     client.body += h3_event.data
                     client.is_whole = client.is_whole or h3_event.stream_ended
             event = client.connection.next_event()
 
+    def _try_again(self, client, event):
+        # Only a request that reached a drained agent unread is rejected, as not run.
+        assert event.error_code == ErrorCode.H3_REQUEST_REJECTED, "nothing_cut"
+        assert self.draining, "nothing_cut"
+        assert not client.is_begun, "nothing_cut"
+        self.open(client)
+
     def _pass(self, client, data, is_upward, fate):
         if fate == 1:
             return
@@ -272,6 +287,7 @@
     def _answer(self, engine, event):
         client = self.clients[event.caller.port - 10_000]
         assert engine.own.service == client.service, "wrong service"
+        client.is_begun = True
         engine.start_answer(event.key, ((b":status", b"200"),), is_ended=False)
         engine.write_answer(event.key, client.expected, is_ended=True)
         engine.finish(event.key)
