--- a/bench/engine_driver.py
+++ b/bench/engine_driver.py
@@ -8,6 +8,7 @@
 from aioquic.quic.configuration import QuicConfiguration
 from aioquic.quic.connection import QuicConnection
 
+from balsamtide.agent.connection import ResetTokens
 from balsamtide.agent.flow_engine import (
     FlowEngine,
     FlowLimits,
@@ -43,6 +44,8 @@
 ]
 BODY = b"x" * 16
 
+ID_KEYS = IdKeys(current=0, keys={0: b"k" * 16})
+
 
 class DrivenCaller:
     """One caller of the engine.
@@ -96,8 +99,8 @@
         self.engine = FlowEngine(
             own=Destination(SERVICE, TARGET),
             configuration=configuration,
-            ids=ConnectionIdCodec(IdKeys(current=0, keys={0: b"k" * 16})),
-            reset_key=b"r" * 32,
+            ids=ConnectionIdCodec(ID_KEYS),
+            resets=ResetTokens(ID_KEYS),
             limits=FlowLimits(
                 flows=MANY_FLOWS,
                 handshakes=MANY_FLOWS,
--- a/src/balsamtide/agent/connection.py
+++ b/src/balsamtide/agent/connection.py
@@ -19,20 +19,42 @@
 from aioquic.quic.recovery import QuicPacketSpace
 from aioquic.quic.stream import QuicStream
 
+from balsamtide.protocol.connection_id import KEY_NUMBER_SHIFT, IdKeys
+
 __all__ = [
     "AgentH3Connection",
+    "ResetTokens",
     "RoutableConnection",
     "STREAM_WINDOW_BYTES",
-    "reset_token",
 ]
 
 STREAM_WINDOW_BYTES = 256 * 1024
 RESET_TOKEN_BYTES = 16
+RESET_PERSON = b"balsamtide-reset"
+
+
+class ResetTokens:
+    """Stateless reset tokens that outlive the process.
+
+    The key of a token is derived from the key of the connection ID, so an agent that
+    was restarted can reset the flows of the one before it.
+
+    Parameters
+    ----------
+    keys : IdKeys
+        Keys of connection IDs.
+    """
 
+    def __init__(self, keys: IdKeys) -> None:
+        self.keys = {
+            number: blake2b(key, person=RESET_PERSON).digest()
+            for number, key in keys.keys.items()
+        }
 
-def reset_token(key: bytes, connection_id: bytes) -> bytes:
-    """Return the stateless reset token of ``connection_id``, 16 octets."""
-    return blake2b(connection_id, key=key, digest_size=RESET_TOKEN_BYTES).digest()
+    def token(self, connection_id: bytes) -> bytes:
+        """Return the token of ``connection_id``, 16 octets."""
+        key = self.keys[connection_id[0] >> KEY_NUMBER_SHIFT]
+        return blake2b(connection_id, key=key, digest_size=RESET_TOKEN_BYTES).digest()
 
 
 class RoutableConnection(QuicConnection):
@@ -44,8 +66,8 @@
         Configuration of the agent.
     issue_id : callable
         Returns a fresh connection ID.
-    reset_key : bytes
-        Key of stateless reset tokens.
+    resets : ResetTokens
+        Makes stateless reset tokens.
     original_id, retry_id : bytes or None
         IDs of the caller's first datagram and of our Retry.
     """
@@ -55,7 +77,7 @@
         *,
         configuration: QuicConfiguration,
         issue_id: Callable[[], bytes],
-        reset_key: bytes,
+        resets: ResetTokens,
         original_id: bytes,
         retry_id: bytes | None = None,
     ) -> None:
@@ -65,11 +87,11 @@
             retry_source_connection_id=retry_id,
         )
         self.issue_id = issue_id
-        self.reset_key = reset_key
+        self.resets = resets
         self.held_streams: set[int] = set()
         first = self._host_cids[0]
         first.cid = issue_id()
-        first.stateless_reset_token = reset_token(reset_key, first.cid)
+        first.stateless_reset_token = resets.token(first.cid)
         self.host_cid = first.cid
         self._local_initial_source_connection_id = first.cid
 
@@ -80,7 +102,7 @@
                 QuicConnectionId(
                     cid=connection_id,
                     sequence_number=self._host_cid_seq,
-                    stateless_reset_token=reset_token(self.reset_key, connection_id),
+                    stateless_reset_token=self.resets.token(connection_id),
                 )
             )
             self._host_cid_seq += 1
--- a/src/balsamtide/agent/flow_engine.py
+++ b/src/balsamtide/agent/flow_engine.py
@@ -27,8 +27,8 @@
 from balsamtide.agent.connection import (
     STREAM_WINDOW_BYTES,
     AgentH3Connection,
+    ResetTokens,
     RoutableConnection,
-    reset_token,
 )
 from balsamtide.agent.events import FLOW_REFUSED
 from balsamtide.agent.flow import Flow
@@ -113,8 +113,8 @@
         With certificate and key.
     ids : ConnectionIdCodec
         Issues connection IDs.
-    reset_key : bytes
-        Key of stateless reset tokens.
+    resets : ResetTokens
+        Makes stateless reset tokens.
     limits : FlowLimits
         Bounds.
     steering : Steering
@@ -131,7 +131,7 @@
         own: Destination,
         configuration: QuicConfiguration,
         ids: ConnectionIdCodec,
-        reset_key: bytes,
+        resets: ResetTokens,
         limits: FlowLimits,
         steering: Steering,
         leases: BalancerLeases,
@@ -140,7 +140,7 @@
         self.own = own
         self.configuration = configuration
         self.ids = ids
-        self.reset_key = reset_key
+        self.resets = resets
         self.limits = limits
         self.steering = steering
         self.leases = leases
@@ -254,7 +254,7 @@
         connection = RoutableConnection(
             configuration=self.configuration,
             issue_id=self.issue_id,
-            reset_key=self.reset_key,
+            resets=self.resets,
             original_id=original_id,
             retry_id=retry_id,
         )
@@ -428,8 +428,10 @@
         is_losing = flow.connection.lost_packets > 0
         self._track_loss(flow, now, is_losing=is_losing)
         balancer = flow.return_path.choose(self.leases, now, is_losing=is_losing)
-        for data, _ in datagrams:
-            reply = Reply(flow.caller, self.own.service, flow.address, data)
+        for data, (host, port, *_) in datagrams:
+            # aioquic follows a caller whose address changes, once it has proved it.
+            caller = Endpoint(host, port)
+            reply = Reply(caller, self.own.service, flow.address, data)
             self.outgoing.append(Send(balancer, reply))
 
     @staticmethod
@@ -553,7 +555,7 @@
             return
         filler = self.ids.random(RESET_BYTES - 16)
         first = bytes(((filler[0] & 0x3F) | 0x40,))
-        token = reset_token(self.reset_key, connection_id)
+        token = self.resets.token(connection_id)
         self._reply(forward, first + filler[1:] + token)
 
     def _drop(self, reason: str, forward: Forward) -> None:
--- a/src/balsamtide/agent/target_client.py
+++ b/src/balsamtide/agent/target_client.py
@@ -47,6 +47,7 @@
 HOP_HEADERS = frozenset(
     (b"connection", b"keep-alive", b"transfer-encoding", b"te", b"upgrade", b"trailer")
 )
+REPLACED_HEADERS = HOP_HEADERS | {b"host", REQUEST_ID, DEADLINE_MS}
 METHODS_WITH_BODY = ("POST", "PUT", "PATCH")
 STREAM_ERRORS = (BrokenResourceError, ClosedResourceError, OSError)
 
@@ -237,7 +238,7 @@
     kept = [
         (name, value)
         for name, value in headers
-        if name not in HOP_HEADERS and not name.startswith(b":") and name != b"host"
+        if name not in REPLACED_HEADERS and not name.startswith(b":")
     ]
     kept.append((b"host", f"{target.host}:{target.port}".encode()))
     remaining_ms = max(0, int((facts.deadline - current_time()) * 1000))
--- a/src/balsamtide/agent/work.py
+++ b/src/balsamtide/agent/work.py
@@ -17,6 +17,7 @@
     DeadlineAdmission,
 )
 from balsamtide.admission.offer_desk import OfferDesk
+from balsamtide.agent.connection import ResetTokens
 from balsamtide.agent.dispatcher import Dispatcher
 from balsamtide.agent.events import AGENT_STOPPED, DRAIN_STARTED
 from balsamtide.agent.execution import Executor
@@ -52,7 +53,6 @@
 __all__ = ["AgentWork"]
 
 TENURE_BITS = 63
-RESET_KEY_BYTES = 32
 HOUSEKEEPING_PERIOD_S = 0.25
 DRAIN_IDLE_S = 1.0
 CLOSE_S = 0.5
@@ -166,7 +166,7 @@
             own=Destination(service.number, self.view.target.number),
             configuration=configuration,
             ids=self.node.ids,
-            reset_key=self.random.randbytes(RESET_KEY_BYTES),
+            resets=ResetTokens(self.settings.id_keys),
             limits=FlowLimits(flows=service.rules.limits.flows),
             steering=PeerSteering(best_peer=self._best_peer, is_ready=self._is_ready),
             leases=leases,
--- a/src/balsamtide/balancer/balancer.py
+++ b/src/balsamtide/balancer/balancer.py
@@ -264,17 +264,23 @@
         with listener.scope:
             while True:
                 batch = await listener.socket.receive()
+                received = current_time()
                 for datagram, source in batch:
-                    self._forward(datagram, source, listener)
+                    self._forward(datagram, source, listener, received)
 
     def _forward(
-        self, datagram: bytes, source: tuple[str, int], listener: Listener
+        self,
+        datagram: bytes,
+        source: tuple[str, int],
+        listener: Listener,
+        received: float,
     ) -> None:
         result = self.forwarder.forward(
             datagram,
             Endpoint(*source),
             listener.place.service,
             listener.place.address,
+            elapsed_us=int((current_time() - received) * 1e6),
         )
         if isinstance(result, Dropped):
             reason = result.reason.value
--- a/src/balsamtide/balancer/forwarder.py
+++ b/src/balsamtide/balancer/forwarder.py
@@ -89,7 +89,13 @@
         self.routes.clear()
 
     def forward(
-        self, datagram: bytes, caller: Endpoint, service: int, address: str
+        self,
+        datagram: bytes,
+        caller: Endpoint,
+        service: int,
+        address: str,
+        *,
+        elapsed_us: int = 0,
     ) -> Forwarded | Dropped:
         """Decide about one datagram.
 
@@ -103,6 +109,8 @@
             Number of the service whose address it came to.
         address : str
             Name of that address.
+        elapsed_us : int
+            Time since it was received, microseconds.
         """
         # Short headers start with the bits 01; their IDs repeat, packet for packet.
         known = self.routes.get(datagram[1:ID_END]) if datagram[:1] < LONG else None
@@ -113,7 +121,7 @@
         if isinstance(route, DropReason):
             return Dropped(route)
         header = ForwardHeader(
-            caller, service, address, self.version, 0, 0, self.reply_to
+            caller, service, address, self.version, 0, elapsed_us, self.reply_to
         )
         agent = route.agent
         return Forwarded((agent.host, agent.port), self.codec.seal(header, datagram))
--- a/src/balsamtide/node/rpc.py
+++ b/src/balsamtide/node/rpc.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
+from logging import getLogger
 from ssl import (
     CERT_REQUIRED,
     PROTOCOL_TLS_CLIENT,
@@ -20,6 +21,11 @@
 from balsamtide.requests.hand_off_client import RPC_CONFIGURATION
 from balsamtide.settings.model import TlsFiles
 
+# grpclib logs every stream that a peer resets as an error with a traceback; peers
+# reset streams to withdraw offers, which is no fault.
+RESET_MESSAGE = "Failed to handle cancellation"
+getLogger("grpclib.server").addFilter(lambda line: line.msg != RESET_MESSAGE)
+
 __all__ = ["client_context", "serve_rpc", "server_context"]
 
 
--- a/src/balsamtide/requests/exits.py
+++ b/src/balsamtide/requests/exits.py
@@ -37,7 +37,14 @@
         "stamp-required",
         NOT_RUN,
         428,
-        "A key without a stamp is refused before admission, on every try.",
+        "A first try without a stamp is refused before admission.",
+    )
+    STAMP_LOST = (
+        Party.HOME,
+        "stamp-lost",
+        MAY_HAVE_RUN,
+        409,
+        "A repeat without a stamp that can be read; its earlier try may have run.",
     )
     STAMP_FOREIGN = (
         Party.HOME,
--- a/src/balsamtide/requests/home.py
+++ b/src/balsamtide/requests/home.py
@@ -148,9 +148,10 @@
         """Decide about a request from a caller's flow."""
         if request.key is None or request.is_idempotent:
             return RunHere(None)
-        if stamp is None:
-            return Refuse(Exit.STAMP_REQUIRED.refusal())
         is_first = request.attempt == 1
+        if stamp is None:
+            missing = Exit.STAMP_REQUIRED if is_first else Exit.STAMP_LOST
+            return Refuse(missing.refusal())
         is_ours = stamp.service == self.service
         if is_first and not (is_ours and stamp.tenure == self.ledger.tenure):
             return Refuse(Exit.STAMP_FOREIGN.refusal())
--- a/src/balsamtide/transport/datagram_socket.py
+++ b/src/balsamtide/transport/datagram_socket.py
@@ -34,9 +34,10 @@
         self.socket.setsockopt(SOL_SOCKET, SO_SNDBUF, BUFFER_BYTES)
         try:
             self.socket.bind((endpoint.host, endpoint.port))
-        except OSError:
+        except OSError as error:
             self.socket.close()
-            raise
+            place = f"{endpoint.host}:{endpoint.port}"
+            raise OSError(error.errno, f"{error.strerror}: {place}") from error
         host, port = self.socket.getsockname()[:2]
         self.endpoint = Endpoint(host, port)
         self.dropped = 0
--- a/tests/test_requests_verdicts.py
+++ b/tests/test_requests_verdicts.py
@@ -84,6 +84,7 @@
 SMALL = RecordedAnswer(200, (), b"x")
 HOME_ROWS = {
     Exit.STAMP_REQUIRED: lambda: make_home().decide(FIRST, None, 0.0),
+    Exit.STAMP_LOST: lambda: make_home().decide(REPEAT, None, 0.0),
     Exit.STAMP_FOREIGN: lambda: make_home().decide(FIRST, replace_tenure(1), 0.0),
     Exit.STAMP_OTHER_SERVICE: lambda: make_home().decide(
         REPEAT, Stamp(2, 3, 77, 5), 0.0
