--- a/src/balsamtide/admission/deadline_admission.py
+++ b/src/balsamtide/admission/deadline_admission.py
@@ -27,6 +27,7 @@
 from balsamtide.admission.report_schedule import ReportSchedule
 from balsamtide.admission.size_classes import SizeClasses
 from balsamtide.admission.slot_table import Holder, SlotTable
+from balsamtide.admission.transfers import TRANSFER_RETRY_S, Transfers
 from balsamtide.admission.usage import SlotUsage
 from balsamtide.config.model import Service, SizeClass, Target
 from balsamtide.protocol.actions import Send
@@ -41,14 +42,10 @@
 
 QUEUE_WAIT_S = 0.2
 LATE_FACTOR = 3.0
-TRANSFER_RETRY_S = 0.005
-LONGEST_TRANSFER_RETRY_S = 0.08
-MOST_TRANSFERS = 32
 SHORTEST_TRANSFER_WAIT_S = 0.01
 REMOTE_WAIT_S = 0.01
 BUSY_MARGIN = 0.03
 BUSY_GAIN = 3.0
-MOST_OFFERED = 256
 SHORTEST_RETRY_AFTER_S = 0.05
 US_PER_S = 1_000_000
 PERMILLE = 1000
@@ -76,29 +73,6 @@
     tenure: int
 
 
-@dataclass(frozen=True, slots=True)
-class _Offered:
-    request: RequestFacts
-    targets: tuple[int, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class _Attempts:
-    """How often a request was offered, and when it is offered again at the earliest."""
-
-    count: int = 0
-    next_at: float = 0.0
-
-    def failed(self, now: float) -> "_Attempts":
-        """Return what is true after another failure."""
-        wait = TRANSFER_RETRY_S * 2**self.count
-        return _Attempts(self.count + 1, now + min(LONGEST_TRANSFER_RETRY_S, wait))
-
-    def is_due(self, now: float) -> bool:
-        """Tell whether the request may be offered."""
-        return self.count < MOST_TRANSFERS and now >= self.next_at
-
-
 class DeadlineAdmission(AdmissionPolicy):
     """Admits by deadline, keeps slots for short work and shares work with peers.
 
@@ -140,9 +114,8 @@
             size: DeadlineQueue(service.rules.limits.queue)
             for size in (SizeClass.SHORT, SizeClass.LONG)
         }
-        self.offered: dict[str, _Offered] = {}
+        self.transfers = Transfers()
         self.granted: list[str] = []
-        self.attempts: dict[str, _Attempts] = {}
         self.is_draining = False
         self.is_leaving = False
         self.next_retry = float("inf")
@@ -194,8 +167,7 @@
     ) -> Sequence[Decision]:
         """Take the end of a request that was started here or handed off."""
         holder = self.slots.release(request_id)
-        offered = self.offered.pop(request_id, None)
-        self.attempts.pop(request_id, None)
+        offered = self.transfers.forget(request_id)
         if holder is not None:
             self._record(holder, outcome, now)
         elif offered is not None:
@@ -205,21 +177,18 @@
     def cancel(self, request_id: str, now: float) -> Sequence[Decision]:
         """Forget a request that its caller gave up, wherever it stands."""
         self.slots.release(request_id)
-        self.offered.pop(request_id, None)
-        self.attempts.pop(request_id, None)
+        self.transfers.forget(request_id)
         for queue in self.queues.values():
             queue.remove(request_id)
         return self._advance(now)
 
     def transfer_failed(self, request_id: str, now: float) -> Sequence[Decision]:
         """Take back a request that no peer granted."""
-        offered = self.offered.pop(request_id, None)
+        offered = self.transfers.fail(request_id, now)
         if offered is None:
             return ()
         self.peers.deny(offered.targets, now)
         request = offered.request
-        attempts = self.attempts.get(request_id, _Attempts())
-        self.attempts[request_id] = attempts.failed(now)
         size = self.classes.size(request.route)
         if not self.queues[size] and self._can_start(size, now):
             return [self._start(request, size, "short", now)]
@@ -351,7 +320,7 @@
     def _start(
         self, request: RequestFacts, size: SizeClass, cause: str, now: float
     ) -> Start:
-        self.attempts.pop(request.request_id, None)
+        self.transfers.forget(request.request_id)
         self.slots.running[request.request_id] = Holder(
             route=request.route,
             size=size,
@@ -386,10 +355,6 @@
         allowed = self.quotas if size is SizeClass.LONG else None
         return self.peers.choose(size, now, own_wait_s=wait, allowed=allowed)
 
-    def _may_offer(self, request: RequestFacts, now: float) -> bool:
-        attempts = self.attempts.get(request.request_id)
-        return attempts is None or attempts.is_due(now)
-
     def _choose_idler(self, size: SizeClass, now: float) -> tuple[int, ...]:
         """Choose peers for a request that could start here, to even slot time out."""
         mean = self.peers.mean_busy(now)
@@ -404,7 +369,7 @@
     def _transfer(
         self, request: RequestFacts, size: SizeClass, targets: tuple[int, ...]
     ) -> Transfer:
-        self.offered[request.request_id] = _Offered(request, targets)
+        self.transfers.begin(request, targets)
         self.sink.count(TRANSFERS, size=size.value)
         return Transfer(request.request_id, targets)
 
@@ -439,7 +404,7 @@
         return None
 
     def _refuse(self, request: RequestFacts, cause: Exit, wait: float) -> Refused:
-        self.attempts.pop(request.request_id, None)
+        self.transfers.forget(request.request_id)
         self.sink.count(REFUSED, reason=cause.reason)
         retry_after = max(SHORTEST_RETRY_AFTER_S, wait) * self.random.uniform(1, 2)
         return Refused(request.request_id, cause.refusal(retry_after))
@@ -497,17 +462,9 @@
             return "cold" if self.limit.is_cold else "limit"
         return "long" if self.slots.held_by_long else "short"
 
-    def _forget_offered(self, now: float) -> None:
-        """Drop what was handed off and never reported back."""
-        old = [i for i, o in self.offered.items() if now >= o.request.deadline]
-        for request_id in old:
-            del self.offered[request_id]
-            self.attempts.pop(request_id, None)
-
     def _advance(self, now: float) -> list[Decision]:
         self.slots.void(now)
-        if len(self.offered) > MOST_OFFERED:
-            self._forget_offered(now)
+        self.transfers.expire(now)
         decisions: list[Decision] = []
         for queue in self.queues.values():
             for entry in queue.hopeless(now):
@@ -528,7 +485,7 @@
         decisions: list[Decision] = []
         for size, queue in self.queues.items():
             for entry in queue.own():
-                if not self._may_offer(entry.request, now):
+                if not self.transfers.may_offer(entry.request.request_id, now):
                     continue
                 targets = self._choose(entry.request, size, now)
                 if not targets:
--- a/tests/test_requests_admission.py
+++ b/tests/test_requests_admission.py
@@ -12,6 +12,7 @@
     Start,
     Transfer,
 )
+from balsamtide.admission.transfers import MOST_OFFERED, MOST_TRANSFERS, Transfers
 from balsamtide.protocol.messages import LoadReport
 from balsamtide.requests.exits import Exit
 from balsamtide.telemetry.memory_sink import MemorySink
@@ -209,3 +210,29 @@
         policy.finish("a", RAN, now)
         sent += len(policy.reports(now))
     assert 0 < sent * 110 <= 4000 * 11
+
+
+def test_transfers_that_never_report_back_are_dropped():
+    """What was handed off and never ended is forgotten after its deadline."""
+    transfers = Transfers()
+    for n in range(MOST_OFFERED + 1):
+        transfers.begin(make_request(f"{n}", deadline=1.0), (2,))
+    transfers.expire(0.5)
+    assert len(transfers.offered) == MOST_OFFERED + 1
+    transfers.expire(1.0)
+    assert not transfers.offered
+
+
+def test_offers_of_one_request_grow_rarer():
+    """A request that no peer takes is offered at growing intervals, then no more."""
+    transfers = Transfers()
+    now, waits = 0.0, []
+    while True:
+        transfers.begin(make_request("a"), (2,))
+        transfers.fail("a", now)
+        due = transfers.attempts["a"].next_at
+        if not transfers.may_offer("a", due):
+            break
+        waits.append(round(due - now, 6))
+        now = due
+    assert waits == sorted(waits) and len(waits) == MOST_TRANSFERS - 1
