Keep one hand-over of ledgers, and ports that tests do not take from each other

Cause: the hand-over stood twice; a port was free when it was chosen and taken by another test when it was used (seen once in about 960 tests). Change: agents use requests.hand_over; each process takes ports from its own range below the system's; the caller library starts afresh after an answer of NOT_RUN.

--- a/bench/standins/ports.py
+++ b/bench/standins/ports.py
@@ -1,17 +1,30 @@
-"""Free ports on loopback."""
+"""Free ports on loopback, below the range from which the system itself chooses.
 
+Each process takes ports from a range of its own, so that tests that run side by side
+do not take a port between its check and its use.
+"""
+
+from itertools import count
+from os import getpid
 from socket import AF_INET, SOCK_DGRAM, SOCK_STREAM, socket
 
 __all__ = ["free_port"]
 
+FIRST_PORT = 10_000
+RANGES = 88
+RANGE_PORTS = 250
+
+_turns = count()
+
 
 def free_port(host: str = "127.0.0.1") -> int:
     """Return a port that is free for UDP and TCP at the moment."""
+    first = FIRST_PORT + getpid() % RANGES * RANGE_PORTS
     while True:
+        port = first + next(_turns) % RANGE_PORTS
         with socket(AF_INET, SOCK_DGRAM) as udp, socket(AF_INET, SOCK_STREAM) as tcp:
-            udp.bind((host, 0))
-            port = udp.getsockname()[1]
             try:
+                udp.bind((host, port))
                 tcp.bind((host, port))
             except OSError:
                 continue
--- a/src/balsamtide/agent/work.py
+++ b/src/balsamtide/agent/work.py
@@ -36,17 +36,19 @@
 from balsamtide.agent.service_view import ServiceView
 from balsamtide.agent.slot_runner import SlotRunner
 from balsamtide.agent.steering import PeerSteering
-from balsamtide.agent.succession import hand_over_ledgers
 from balsamtide.agent.target_client import TargetRunner
 from balsamtide.node.node import Node
 from balsamtide.node.rpc import client_context, serve_rpc, server_context
+from balsamtide.protocol.actions import Send
 from balsamtide.protocol.connection_id import Destination
 from balsamtide.protocol.messages import Endpoint, Forward
 from balsamtide.requests.hand_off_client import HandOffClient
 from balsamtide.requests.hand_off_server import HandOffService
+from balsamtide.requests.hand_over import hand_over_ledgers
 from balsamtide.requests.home import Home
 from balsamtide.requests.ledger import Ledger
 from balsamtide.requests.stamp import StampCodec, StampIssuer
+from balsamtide.requests.succession import successors
 from balsamtide.settings.model import Settings
 from balsamtide.telemetry.sink import AuditRecord, Sink
 
@@ -292,15 +294,26 @@
                 await sleep(HOUSEKEEPING_PERIOD_S)
                 await self.flows.close_idle(idle_s=DRAIN_IDLE_S)
         cut = len(self.engine.flows)
-        await hand_over_ledgers(
-            self.home, view=self.view, client=self.client, node=self.node
-        )
+        await self._hand_over()
         await self.flows.close_all()
         await sleep(CLOSE_S if cut else 0)
         await self.target.aclose()
         self._audit("ended")
         self.sink.event(AGENT_STOPPED, flows_cut=cut)
 
+    async def _hand_over(self) -> None:
+        """Close the ledgers for good and give each to one successor."""
+        self.home.close()
+        announcements = await hand_over_ledgers(
+            self.client,
+            self.home,
+            successors(self.view.service, self.view.target.number),
+            instance=self.settings.instance,
+            incarnation=self.node.incarnation,
+        )
+        peers = [Endpoint(p.agent_host, p.agent_port) for p in self.view.peers()]
+        self.node.send([Send(peer, said) for said in announcements for peer in peers])
+
     def _is_busy(self) -> bool:
         open_requests = self.handler.open_requests + self.host.running
         return bool(self.engine.flows or open_requests)
--- a/src/balsamtide/caller/caller.py
+++ b/src/balsamtide/caller/caller.py
@@ -255,8 +255,8 @@
                 continue
             if not self._must_repeat(call, answer, attempt):
                 return answer
-            # The home refuses a repeat's number for good once it said "not run".
-            sent += sent > 0
+            # "Not run" holds for all tries so far, so the next one is a first try.
+            sent = 0
             said = answer.header(RETRY_AFTER_MS)
             await self._back_off(attempt, call.deadline, said)
         raise AttemptsFailed(f"{call.method} {call.path} failed", failures)
