--- a/src/balsamtide/requests/hand_off_client.py
+++ b/src/balsamtide/requests/hand_off_client.py
@@ -13,7 +13,7 @@
 
 from grpclib.client import Channel, StreamStreamMethod, StreamUnaryMethod
 from grpclib.config import Configuration
-from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+from grpclib.exceptions import ProtocolError
 from trio import (
     BrokenResourceError,
     CancelScope,
@@ -23,9 +23,8 @@
 )
 from trio_asyncio import aio_as_trio, trio_as_aio
 
-from balsamtide.protocol.errors import DecodeError
 from balsamtide.protocol.messages import Endpoint
-from balsamtide.protocol.rpc import RpcCodec
+from balsamtide.protocol.rpc import RPC_ERRORS, RpcCodec
 from balsamtide.protocol.verdict import Verdict
 from balsamtide.requests.errors import (
     AttemptsFailed,
@@ -77,15 +76,7 @@
     _http2_min_sent_ping_interval_without_data=KEEPALIVE_S / 2,
 )
 
-LOST = (
-    BrokenResourceError,
-    ClosedResourceError,
-    DecodeError,
-    GRPCError,
-    OSError,
-    ProtocolError,
-    StreamTerminatedError,
-)
+LOST = (BrokenResourceError, ClosedResourceError, *RPC_ERRORS)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/balsamtide/telemetry/query_rpc.py
+++ b/src/balsamtide/telemetry/query_rpc.py
@@ -11,15 +11,13 @@
 
 from grpclib.client import Channel, UnaryUnaryMethod
 from grpclib.const import Cardinality, Handler
-from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 from grpclib.server import Stream
 from msgspec import Struct
 from trio import move_on_after, open_nursery
 from trio_asyncio import aio_as_trio
 
-from balsamtide.protocol.errors import DecodeError
 from balsamtide.protocol.messages import Endpoint
-from balsamtide.protocol.rpc import RpcCodec
+from balsamtide.protocol.rpc import RPC_ERRORS, RpcCodec
 from balsamtide.telemetry.events import PEER_SILENT
 from balsamtide.telemetry.request_log import RequestLog
 from balsamtide.telemetry.sink import Sink
@@ -32,14 +30,6 @@
 GUARD_S = 0.5
 SUMMARY_PATH = "/balsamtide.Telemetry/Summary"
 REQUEST_PATH = "/balsamtide.Telemetry/Request"
-CALL_ERRORS = (
-    DecodeError,
-    GRPCError,
-    OSError,
-    ProtocolError,
-    StreamTerminatedError,
-    TimeoutError,
-)
 
 
 class SummaryQuestion(Struct, frozen=True, array_like=True):
@@ -189,7 +179,7 @@
         with move_on_after(self.deadline_s + GUARD_S):
             try:
                 await ask(peer)
-            except CALL_ERRORS:
+            except RPC_ERRORS:
                 return False
             return True
         return False
