Split the caller library: requests, flows and tries in modules of their own

Change: call.py holds one request and its header fields, flow_keeper.py the flows; stamps are kept by flow object instead of by id(). No behaviour changes.

--- a/src/balsamtide/caller/caller.py
+++ b/src/balsamtide/caller/caller.py
@@ -2,9 +2,9 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from dataclasses import dataclass
 from random import Random
 from uuid import uuid4
+from weakref import WeakKeyDictionary
 
 from trio import (
     Nursery,
@@ -17,9 +17,9 @@
 )
 
 from balsamtide.caller.answer import Answer, StreamedAnswer
+from balsamtide.caller.call import IDEMPOTENT_METHODS, Call
 from balsamtide.caller.errors import (
     CallerError,
-    ConnectError,
     DeadlineError,
     StreamBrokenError,
 )
@@ -28,11 +28,9 @@
     RequestRejected,
     make_caller_configuration,
 )
+from balsamtide.caller.flow_keeper import FlowKeeper
 from balsamtide.caller.flow_task import CallerFlowTask, PendingRequest
 from balsamtide.protocol.headers import (
-    ATTEMPT,
-    DEADLINE_MS,
-    IDEMPOTENCY_KEY,
     RETRY_AFTER_MS,
     STAMP,
 )
@@ -44,46 +42,13 @@
 
 __all__ = ["Caller", "open_caller"]
 
-IDEMPOTENT_METHODS = frozenset(("GET", "HEAD", "OPTIONS"))
 STAMP_PATH = "/.well-known/balsamtide"
 STATUS_STAMP_REQUIRED = 428
 MOST_ATTEMPTS = 4
-CONNECT_TIMEOUT_S = 5.0
 FIRST_BACKOFF_S = 0.02
 LONGEST_BACKOFF_S = 1.0
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Call:
-    """One request of an application, over all its tries.
-
-    Parameters
-    ----------
-    method, path : str
-        What is asked.
-    headers : tuple of (bytes, bytes)
-        Header fields of the application.
-    body : bytes
-        Body.
-    key : str or None
-        Idempotency key.
-    deadline : float
-        Local time at which the answer is worthless, seconds.
-    """
-
-    method: str
-    path: str
-    headers: tuple[Header, ...]
-    body: bytes
-    key: str | None
-    deadline: float
-
-    @property
-    def is_idempotent(self) -> bool:
-        """Whether running it twice equals running it once."""
-        return self.method in IDEMPOTENT_METHODS
-
-
 class Caller:
     """Sends requests to one service address over as few flows as possible.
 
@@ -112,17 +77,14 @@
         nursery: Nursery,
         random: Random,
     ) -> None:
-        self.remote = remote
-        self.configuration = make_caller_configuration(
+        self.server_name = server_name
+        configuration = make_caller_configuration(
             server_name=server_name, authority=authority
         )
-        self.nursery = nursery
+        self.flows = FlowKeeper(configuration, remote, nursery)
         self.random = random
         self.budget = RetryBudget(percent=20)
-        self.current: CallerFlowTask | None = None
-        self.connecting: CallerFlowTask | None = None
-        self.stamps: dict[int, bytes] = {}
-        self.broken_flows = 0
+        self.stamps: WeakKeyDictionary[CallerFlowTask, bytes] = WeakKeyDictionary()
 
     async def request(
         self,
@@ -215,8 +177,8 @@
         attempt = 1
         while True:
             try:
-                flow = await self._flow(call.deadline)
-                headers = self._head(call, attempt, b"")
+                flow = await self.flows.flow(call.deadline)
+                headers = call.head(self.server_name, attempt, b"")
                 pending = await flow.open_request(headers, call.body)
                 answer = await self._await_head(pending, call.deadline)
             except CallerError as error:
@@ -239,7 +201,7 @@
         self.budget.first_try()
         for attempt in range(1, MOST_ATTEMPTS + 1):
             try:
-                flow = await self._flow(call.deadline)
+                flow = await self.flows.flow(call.deadline)
                 if call.key is not None and not call.is_idempotent and sent == 0:
                     stamp = await self._stamp(flow, call.deadline)
                 answer = await self._try(flow, call, sent + 1, stamp)
@@ -251,7 +213,7 @@
                 await self._back_off(attempt, call.deadline, b"")
                 continue
             if answer.status == STATUS_STAMP_REQUIRED and sent == 0:
-                self.stamps[id(flow)] = answer.header(STAMP)
+                self.stamps[flow] = answer.header(STAMP)
                 continue
             if not self._must_repeat(call, answer, attempt):
                 return answer
@@ -286,7 +248,7 @@
     async def _try(
         self, flow: CallerFlowTask, call: Call, attempt: int, stamp: bytes
     ) -> Answer:
-        headers = self._head(call, attempt, stamp)
+        headers = call.head(self.server_name, attempt, stamp)
         pending = await flow.open_request(headers, call.body)
         try:
             answer = await self._await_head(pending, call.deadline)
@@ -294,7 +256,7 @@
         finally:
             flow.cancel_request(pending)
         if answer.stamp:
-            self.stamps[id(flow)] = answer.stamp
+            self.stamps[flow] = answer.stamp
         return Answer(
             status=answer.status,
             headers=answer.headers,
@@ -304,25 +266,6 @@
             key_stamp=stamp,
         )
 
-    def _head(self, call: Call, attempt: int, stamp: bytes) -> tuple[Header, ...]:
-        remaining_ms = max(0, int((call.deadline - current_time()) * 1000))
-        added: list[Header] = [
-            (b":method", call.method.encode()),
-            (b":scheme", b"https"),
-            (b":authority", (self.configuration.server_name or "").encode()),
-            (b":path", call.path.encode()),
-            *call.headers,
-            (DEADLINE_MS, str(remaining_ms).encode()),
-            (ATTEMPT, str(attempt).encode()),
-        ]
-        if call.body:
-            added.append((b"content-length", str(len(call.body)).encode()))
-        if call.key is not None:
-            added.append((IDEMPOTENCY_KEY, call.key.encode()))
-        if stamp:
-            added.append((STAMP, stamp))
-        return tuple(added)
-
     async def _await_head(
         self, pending: PendingRequest, deadline: float
     ) -> StreamedAnswer:
@@ -351,10 +294,10 @@
             ) from None
         return bytes(body)
 
-    # Flows and stamps
+    # Stamps
 
     async def _stamp(self, flow: CallerFlowTask, deadline: float) -> bytes:
-        known = self.stamps.pop(id(flow), b"")
+        known = self.stamps.pop(flow, b"")
         if known:
             return known
         call = Call(
@@ -366,51 +309,11 @@
             deadline=deadline,
         )
         answer = await self._try(flow, call, 1, b"")
-        return self.stamps.pop(id(flow), b"") or answer.header(STAMP)
-
-    async def _flow(self, deadline: float) -> CallerFlowTask:
-        current = self.current
-        if current is not None and not current.flow.is_going_away:
-            return current
-        if self.connecting is None or self.connecting.ended.is_set():
-            self.connecting = self._start_flow()
-        connecting = self.connecting
-        await self._await_open(connecting, deadline)
-        if self.connecting is connecting:
-            self.connecting = None
-            self.current = connecting
-        return connecting
-
-    def _start_flow(self) -> CallerFlowTask:
-        self.stamps.clear()
-        flow = CallerFlowTask(self.configuration, self.remote)
-        self.nursery.start_soon(flow.run)
-        return flow
-
-    async def _await_open(self, flow: CallerFlowTask, deadline: float) -> None:
-        timeout = min(CONNECT_TIMEOUT_S, max(0.0, deadline - current_time()))
-        with move_on_after(timeout):
-            async with open_nursery() as nursery:
-
-                async def wait_ended() -> None:
-                    await flow.ended.wait()
-                    nursery.cancel_scope.cancel()
-
-                nursery.start_soon(wait_ended)
-                await flow.opened.wait()
-                nursery.cancel_scope.cancel()
-        if flow.opened.is_set() and not flow.ended.is_set():
-            return
-        if self.connecting is flow:
-            self.connecting = None
-        flow.flow.close()
-        reason = flow.end_reason or "timeout"
-        raise ConnectError(Verdict.NOT_RUN, f"no flow could be opened: {reason}")
+        return self.stamps.pop(flow, b"") or answer.header(STAMP)
 
     async def aclose(self) -> None:
         """Close all flows."""
-        if self.current is not None:
-            await self.current.close()
+        await self.flows.aclose()
 
 
 @asynccontextmanager
