--- a/src/balsamtide/cli/status_commands.py
+++ b/src/balsamtide/cli/status_commands.py
@@ -18,7 +18,12 @@
 from balsamtide.cli.errors import CommandError, ExitCode
 from balsamtide.telemetry.status import Status
 
-__all__ = ["ConfigurationCommand", "StatusCommand", "VersionWaitCommand"]
+__all__ = [
+    "ConfigurationCommand",
+    "StatusCommand",
+    "VersionWaitCommand",
+    "print_statuses",
+]
 
 POLL_PERIOD_S = 0.2
 DEFAULT_TIMEOUT_S = 30
@@ -41,7 +46,7 @@
         if self.is_json:
             self.print_json(statuses)
         else:
-            _print_statuses(self, statuses)
+            print_statuses(self, statuses)
         return ExitCode.OK
 
 
@@ -108,7 +113,7 @@
         if self.is_json:
             self.print_json(statuses)
         else:
-            _print_statuses(self, statuses)
+            print_statuses(self, statuses)
         return ExitCode.OK
 
     def _wait(self, wanted: int, deadline: float) -> list[Status]:
@@ -128,20 +133,46 @@
             self.pause(POLL_PERIOD_S)
 
 
-def _print_statuses(command: ControlCommand, statuses: Sequence[Status]) -> None:
+def print_statuses(command: ControlCommand, statuses: Sequence[Status]) -> None:
+    """Print a table of daemons and what each believes of its peers."""
     command.print_table(
-        ("instance", "role", "zone", "state", "version", "entry", "flows", "requests"),
-        [
-            (
-                s.instance,
-                s.role,
-                s.zone,
-                s.state,
-                str(s.version),
-                str(s.entry),
-                str(s.flows),
-                str(s.requests),
-            )
-            for s in statuses
-        ],
+        (
+            "instance",
+            "role",
+            "zone",
+            "state",
+            "version",
+            "entry",
+            "lag",
+            "peers",
+            "flows",
+            "requests",
+        ),
+        [_row(status) for status in statuses],
+    )
+    for status in statuses:
+        _print_beliefs(command, status)
+
+
+def _row(status: Status) -> tuple[str, ...]:
+    return (
+        status.instance,
+        status.role,
+        status.zone,
+        status.state,
+        str(status.version),
+        str(status.entry),
+        str(status.lag),
+        str(status.peers),
+        str(status.flows),
+        str(status.requests),
     )
+
+
+def _print_beliefs(command: ControlCommand, status: Status) -> None:
+    if status.is_cut_off:
+        command.print_line(f"  {status.instance}: takes itself to be isolated")
+    if status.instance in status.readers:
+        command.print_line(f"  {status.instance}: reads the platform for its zone")
+    if status.marks:
+        command.print_line(f"  {status.instance}: marks {', '.join(status.marks)}")
--- a/src/balsamtide/daemon.py
+++ b/src/balsamtide/daemon.py
@@ -164,6 +164,14 @@
             requests=work.handler.open_requests if work else 0,
             peers=membership.peers,
             uptime_s=current_time() - self.started_at,
+            lag=membership.lag,
+            readers=membership.readers,
+            marks=tuple(
+                sorted(
+                    {f"{m.subject} {m.kind}" for m in membership.marks if m.is_believed}
+                )
+            ),
+            is_cut_off=membership.is_cut_off,
         )
 
     def _state(self) -> str:
--- a/src/balsamtide/telemetry/status.py
+++ b/src/balsamtide/telemetry/status.py
@@ -26,6 +26,14 @@
         Peers believed to be alive.
     uptime_s : float
         Time since the process started, seconds.
+    lag : int
+        Entries known to exist that are not held here.
+    readers : tuple of str
+        Known readers of the platform in the own availability zone.
+    marks : tuple of str
+        Marks that are believed, as ``SUBJECT KIND``.
+    is_cut_off : bool
+        Whether the process takes itself to be isolated.
     """
 
     instance: str
@@ -41,3 +49,7 @@
     requests: int = 0
     peers: int = 0
     uptime_s: float = 0.0
+    lag: int = 0
+    readers: tuple[str, ...] = ()
+    marks: tuple[str, ...] = ()
+    is_cut_off: bool = False
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -10,6 +10,8 @@
 
 from balsamtide.cli.application import ControlApplication
 from balsamtide.cli.errors import ExitCode
+from balsamtide.cli.status_commands import print_statuses
+from balsamtide.telemetry.status import Status
 from bench.standins.request_records import make_fault, summarise
 from examples.make_keys import write_keys
 from tests.fakes_admin import CONFIGURATION, make_admin, run_command
@@ -219,3 +221,41 @@
         assert decode(run.output)["is_valid"] is (code == ExitCode.OK)
     else:
         assert expected in run.output
+
+
+@pytest.mark.parametrize(
+    ("status", "line"),
+    [
+        ({"readers": ("agent-1",)}, "agent-1: reads the platform"),
+        ({"marks": ("agent-9 suspect",)}, "agent-1: marks agent-9 suspect"),
+        ({"is_cut_off": True}, "agent-1: takes itself to be isolated"),
+    ],
+)
+def test_status_tells_what_a_daemon_believes(status, line):
+    """Readers, believed marks and isolation are told below the table."""
+    lines = []
+
+    class Printer:
+        """Collects what is printed."""
+
+        def print_table(self, header, rows):
+            """Keep the table."""
+            lines.append(" ".join(header))
+
+        def print_line(self, text):
+            """Keep a line."""
+            lines.append(text)
+
+    known = Status(
+        instance="agent-1",
+        role="agent",
+        region="r",
+        zone="z",
+        state="ready",
+        version=3,
+        entry=4,
+        **status,
+    )
+    print_statuses(Printer(), [known])
+    assert any(line in text for text in lines)
+    assert "lag peers" in lines[0]
