Let answers last longer than the deadline of their start

Cause: the deadline of a request also ended its answer, so a stream was cut after the route's deadline (10 s by default); the code that lifts it acted on an unused scope. Found by reading; no test had a stream longer than its deadline. Change: the deadline is lifted when the head of the answer arrives.

--- a/src/balsamtide/agent/target_client.py
+++ b/src/balsamtide/agent/target_client.py
@@ -110,7 +110,8 @@
         """Run one request on the target."""
         progress = Progress(started_at=current_time())
         try:
-            with fail_at(facts.deadline):
+            with fail_at(facts.deadline) as scope:
+                progress.scope = scope
                 connection = await self._connect()
                 progress.is_connected = True
                 return await self._run_on(
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -102,3 +102,19 @@
             assert b"".join(parts).count(b"part") == 30
 
     run(scenario)
+
+
+@pytest.mark.parametrize("path", ["/watch?n=30", "/long"])
+def test_deadline_is_for_the_start_of_an_answer(tmp_path, path):
+    """An answer that began in time arrives whole, however long it takes."""
+
+    async def scenario():
+        async with (
+            running(tmp_path) as deployment,
+            calling(deployment, "quick") as caller,
+            caller.stream("GET", path, timeout_s=0.3) as answer,
+        ):
+            parts = [part async for part in answer.parts()]
+            assert b"".join(parts).count(b"part") == (8 if path == "/long" else 30)
+
+    run(scenario)
