--- a/bench/measures/epidemic.py
+++ b/bench/measures/epidemic.py
@@ -103,7 +103,7 @@
 def measure_spread(
     way: type[Spreading], size: int, *, seed: int = 1, entries: int = ENTRIES
 ) -> Spread:
-    """Publish entries at the letter's rate in a fleet of ``size``."""
+    """Publish entries at the planned rate in a fleet of ``size``."""
     fleet = make_fleet(way, size, seed=seed)
     random = Random(seed)
     fleet.run(WARM_UP_S)
--- a/bench/measures/liveness.py
+++ b/bench/measures/liveness.py
@@ -152,7 +152,7 @@
 
 
 def _entry_cost() -> Cost:
-    """Measure what entries at the letter's rate cost every member in a second."""
+    """Measure what entries at the planned rate cost every member in a second."""
     busy = measure_spread(PushWithExchange, 200, entries=4)
     idle = measure_idle(200)
     cpu_us = 2 * (busy.messages * busy.cpu_us - idle.messages * idle.cpu_us)
--- a/bench/measures/platform_reads.py
+++ b/bench/measures/platform_reads.py
@@ -86,7 +86,7 @@
 
 
 async def _read_for(platform: CountingPlatform, seconds: float) -> None:
-    """Run one reader while entries are published at the letter's rate."""
+    """Run one reader while entries are published at the planned rate."""
     holder = ConfigurationHolder(sink=MemorySink())
     membership = Membership(
         make_instances(1)[0],
--- a/bench/slow_example.py
+++ b/bench/slow_example.py
@@ -92,8 +92,8 @@
     return Status(
         instance=AGENT,
         role="agent",
-        region="doto",
-        zone="doto-a",
+        region="east",
+        zone="east-a",
         state="ready",
         version=7,
         entry=7,
--- a/tests/fakes_admin.py
+++ b/tests/fakes_admin.py
@@ -25,7 +25,7 @@
 TARGETS = {
     f"timetable-{number}": Target(
         number=number,
-        zone="doto-a",
+        zone="east-a",
         host="10.0.0.1",
         port=8000 + number,
         agent_host="10.0.0.1",
@@ -62,8 +62,8 @@
     return Status(
         instance="agent-1",
         role="agent",
-        region="doto",
-        zone="doto-a",
+        region="east",
+        zone="east-a",
         state="ready",
         version=version,
         entry=8,
--- a/tests/fakes_telemetry.py
+++ b/tests/fakes_telemetry.py
@@ -40,7 +40,7 @@
         "service": "timetable",
         "route": "/",
         "target": "timetable-1",
-        "zone": "doto-a",
+        "zone": "east-a",
         "version": 7,
         "verdict": Verdict.RAN,
         "status": 200,
--- a/tests/test_telemetry_admin.py
+++ b/tests/test_telemetry_admin.py
@@ -17,8 +17,8 @@
 STATUS = Status(
     instance="agent-1",
     role="agent",
-    region="doto",
-    zone="doto-a",
+    region="east",
+    zone="east-a",
     state="ready",
     version=7,
     entry=8,
--- a/tests/test_telemetry_query_rpc.py
+++ b/tests/test_telemetry_query_rpc.py
@@ -38,8 +38,8 @@
     return Status(
         instance="self",
         role="agent",
-        region="doto",
-        zone="doto-a",
+        region="east",
+        zone="east-a",
         state="ready",
         version=7,
         entry=7,
