Split the flow engine: the table of flows and the decision about new ones

Change: flow_table.py finds flows, new_flows.py decides about first datagrams as a plain decision that the engine acts on. No behaviour changes; the flow test reads the number of the last flow from the table now.

--- a/bench/engine_driver.py
+++ b/bench/engine_driver.py
@@ -11,10 +11,10 @@
 from balsamtide.agent.connection import ResetTokens
 from balsamtide.agent.flow_engine import (
     FlowEngine,
-    FlowLimits,
     make_quic_configuration,
 )
 from balsamtide.agent.flow_events import FlowEvent, RequestOpened
+from balsamtide.agent.new_flows import FlowLimits
 from balsamtide.agent.return_path import BalancerLeases
 from balsamtide.agent.steering import NoSteering
 from balsamtide.protocol.connection_id import ConnectionIdCodec, Destination, IdKeys
--- a/src/balsamtide/agent/flow_engine.py
+++ b/src/balsamtide/agent/flow_engine.py
@@ -5,7 +5,6 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass
 from heapq import heappop, heappush
 from math import inf
 
@@ -41,12 +40,21 @@
     RequestOpened,
     StreamKey,
 )
+from balsamtide.agent.flow_table import FlowTable
 from balsamtide.agent.metrics import (
     DATAGRAMS_DROPPED,
     DATAGRAMS_STEERED,
     FLOWS_CLOSED,
     FLOWS_OPENED,
 )
+from balsamtide.agent.new_flows import (
+    Accept,
+    AnswerFirst,
+    FlowLimits,
+    NewFlows,
+    Refuse,
+    Steer,
+)
 from balsamtide.agent.return_path import BalancerLeases, ReturnPath
 from balsamtide.agent.steering import Steering
 from balsamtide.protocol.actions import Send
@@ -61,7 +69,7 @@
 from balsamtide.requests.runner import Header
 from balsamtide.telemetry.sink import Sink
 
-__all__ = ["FlowEngine", "FlowLimits", "make_quic_configuration"]
+__all__ = ["FlowEngine", "make_quic_configuration"]
 
 LOW_WATER_BYTES = 64 * 1024
 IDLE_TIMEOUT_S = 60.0
@@ -70,25 +78,6 @@
 STREAM_GONE_ERRORS = (ProtocolError, RuntimeError, ValueError)
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class FlowLimits:
-    """Bounds of the engine.
-
-    Parameters
-    ----------
-    flows : int
-        Open flows.
-    handshakes : int
-        Handshakes in progress; above it, first datagrams are dropped or steered.
-    validated_handshakes : int
-        Handshakes in progress from which on callers must prove their address.
-    """
-
-    flows: int = 2000
-    handshakes: int = 200
-    validated_handshakes: int = 32
-
-
 def make_quic_configuration() -> QuicConfiguration:
     """Return the configuration of an agent's connections, without certificate."""
     return QuicConfiguration(
@@ -141,23 +130,38 @@
         self.configuration = configuration
         self.ids = ids
         self.resets = resets
-        self.limits = limits
-        self.steering = steering
         self.leases = leases
         self.sink = sink
-        self.validation = AddressValidation(
-            issue_id=self.issue_id, versions=configuration.supported_versions
+        self.table = FlowTable()
+        self.new_flows = NewFlows(
+            self.table,
+            limits=limits,
+            steering=steering,
+            validation=AddressValidation(
+                issue_id=self.issue_id, versions=configuration.supported_versions
+            ),
         )
-        self.flows: dict[int, Flow] = {}
-        self.by_id: dict[bytes, Flow] = {}
-        self.handshakes = 0
-        self.last_number = 0
         self.timers: list[tuple[float, int]] = []
         self.dirty: dict[int, Flow] = {}
         self.events: list[FlowEvent] = []
         self.outgoing: list[Send] = []
         self.is_draining = False
 
+    @property
+    def flows(self) -> dict[int, Flow]:
+        """Open flows by number."""
+        return self.table.flows
+
+    @property
+    def by_id(self) -> dict[bytes, Flow]:
+        """Flows by connection ID."""
+        return self.table.by_id
+
+    @property
+    def handshakes(self) -> int:
+        """Handshakes in progress."""
+        return self.table.handshakes
+
     def issue_id(self) -> bytes:
         """Return a fresh connection ID of this agent."""
         return self.ids.issue(self.own)
@@ -210,65 +214,42 @@
         self._open(header.destination_id, forward, now)
 
     def _open(self, first_id: bytes, forward: Forward, now: float) -> None:
-        peer = self._peer_for(first_id, forward, now)
-        if peer is not None:
-            self.sink.count(DATAGRAMS_STEERED)
-            self.outgoing.append(Send(peer, _steered(forward)))
-            return
-        if len(self.flows) >= self.limits.flows or self.is_draining:
-            self._drop("full", forward)
-            return
-        if self.handshakes >= self.limits.handshakes:
-            self._drop("handshakes", forward)
-            return
-        must_validate = self.handshakes >= self.limits.validated_handshakes
-        check = self.validation.check(
-            forward.payload, forward.caller, now, must_validate=must_validate
+        decision = self.new_flows.decide(
+            first_id, forward, now, is_draining=self.is_draining
         )
-        if check.answer is not None:
-            self._reply(forward, check.answer)
-            return
-        if check.original_id is None:
-            self._drop("not-validated", forward)
-            return
-        flow = self._add_flow(forward, now, check.original_id, check.retry_id)
-        self._register(flow, first_id)
-        self._register(flow, flow.connection.host_cid)
+        match decision:
+            case Steer(peer):
+                self.sink.count(DATAGRAMS_STEERED)
+                self.outgoing.append(Send(peer, _steered(forward)))
+            case AnswerFirst(payload):
+                self._reply(forward, payload)
+            case Refuse(reason):
+                self._drop(reason, forward)
+            case Accept():
+                self._accept(decision, first_id, forward, now)
+
+    def _accept(
+        self, accepted: Accept, first_id: bytes, forward: Forward, now: float
+    ) -> None:
+        flow = self._add_flow(forward, now, accepted)
+        self.table.register(flow, first_id)
+        self.table.register(flow, flow.connection.host_cid)
         self._feed(flow, forward, now)
         if not flow.connection.has_begun:
-            self._discard(flow)
+            self.table.discard(flow)
+            self.dirty.pop(flow.number, None)
             self._drop("not-a-handshake", forward)
 
-    def _peer_for(
-        self, first_id: bytes, forward: Forward, now: float
-    ) -> Endpoint | None:
-        if forward.hops > 0:
-            return None
-        is_full = (
-            len(self.flows) >= self.limits.flows
-            or self.handshakes >= self.limits.handshakes
-        )
-        return self.steering.choose(
-            first_id, now, is_full=is_full, is_draining=self.is_draining
-        )
-
-    def _add_flow(
-        self,
-        forward: Forward,
-        now: float,
-        original_id: bytes,
-        retry_id: bytes | None,
-    ) -> Flow:
-        self.last_number += 1
+    def _add_flow(self, forward: Forward, now: float, accepted: Accept) -> Flow:
         connection = RoutableConnection(
             configuration=self.configuration,
             issue_id=self.issue_id,
             resets=self.resets,
-            original_id=original_id,
-            retry_id=retry_id,
+            original_id=accepted.original_id,
+            retry_id=accepted.retry_id,
         )
         flow = Flow(
-            number=self.last_number,
+            number=self.table.next_number(),
             connection=connection,
             caller=forward.caller,
             address=forward.address,
@@ -276,14 +257,9 @@
             opened_at=now,
             steered=forward.hops > 0,
         )
-        self.flows[flow.number] = flow
-        self.handshakes += 1
+        self.table.add(flow)
         return flow
 
-    def _register(self, flow: Flow, connection_id: bytes) -> None:
-        self.by_id[connection_id] = flow
-        flow.ids.add(connection_id)
-
     def _feed(self, flow: Flow, forward: Forward, now: float) -> None:
         flow.return_path.balancer = forward.reply_to
         flow.inner_s = forward.elapsed_us / 1e6
@@ -470,12 +446,12 @@
 
     def _handle(self, flow: Flow, event: QuicEvent, now: float) -> None:
         if isinstance(event, ConnectionIdIssued):
-            self._register(flow, event.connection_id)
+            self.table.register(flow, event.connection_id)
         elif isinstance(event, ConnectionIdRetired):
-            self.by_id.pop(event.connection_id, None)
-            flow.ids.discard(event.connection_id)
+            self.table.retire(flow, event.connection_id)
         elif isinstance(event, HandshakeCompleted):
-            self._finish_handshake(flow, now)
+            self.table.finish_handshake(flow, now)
+            self.sink.count(FLOWS_OPENED)
         elif isinstance(event, ConnectionTerminated):
             self._close(flow, event)
             return
@@ -489,24 +465,8 @@
             for h3_event in flow.h3.handle_event(event):
                 self._handle_h3(flow, h3_event)
 
-    def _finish_handshake(self, flow: Flow, now: float) -> None:
-        flow.is_handshake_done = True
-        flow.handshake_s = now - flow.opened_at
-        self.handshakes -= 1
-        self.sink.count(FLOWS_OPENED)
-
-    def _discard(self, flow: Flow) -> bool:
-        if self.flows.pop(flow.number, None) is None:
-            return False
-        self.dirty.pop(flow.number, None)
-        for connection_id in flow.ids:
-            self.by_id.pop(connection_id, None)
-        if not flow.is_handshake_done:
-            self.handshakes -= 1
-        return True
-
     def _close(self, flow: Flow, event: ConnectionTerminated) -> None:
-        if not self._discard(flow):
+        if not self.table.discard(flow):
             return
         cause = "caller" if event.error_code in (0, ErrorCode.H3_NO_ERROR) else "error"
         self.sink.count(FLOWS_CLOSED, cause=cause)
--- a/tests/test_failures_flows.py
+++ b/tests/test_failures_flows.py
@@ -22,10 +22,10 @@
 from balsamtide.agent.connection import ResetTokens
 from balsamtide.agent.flow_engine import (
     FlowEngine,
-    FlowLimits,
     make_quic_configuration,
 )
 from balsamtide.agent.flow_events import RequestOpened
+from balsamtide.agent.new_flows import FlowLimits
 from balsamtide.agent.return_path import BalancerLeases
 from balsamtide.agent.steering import Steering
 from balsamtide.balancer.forwarder import Forwarded, Forwarder
@@ -183,7 +183,7 @@
             )
         engine = self.engines[_port(destination)]
         engine.drain()
-        self.opened_before = engine.last_number
+        self.opened_before = engine.table.last_number
 
     def connect(self, service):
         """Let a caller connect and ask."""
@@ -342,4 +342,4 @@
 def _check_draining(world):
     for destination in world.draining:
         engine = world.engines[_port(destination)]
-        assert engine.last_number == world.opened_before, "no_new_work"
+        assert engine.table.last_number == world.opened_before, "no_new_work"
--- a/tests/test_flow_engine.py
+++ b/tests/test_flow_engine.py
@@ -4,7 +4,6 @@
 
 import pytest
 
-from balsamtide.agent.flow_engine import FlowLimits
 from balsamtide.agent.flow_events import (
     AnswerDrained,
     BodyReceived,
@@ -12,6 +11,7 @@
     RequestOpened,
 )
 from balsamtide.agent.metrics import DATAGRAMS_DROPPED as DROPPED
+from balsamtide.agent.new_flows import FlowLimits
 from balsamtide.agent.steering import PeerSteering
 from balsamtide.caller.flow import (
     AnswerPart,
