--- a/tests/fakes_membership.py
+++ b/tests/fakes_membership.py
@@ -5,9 +5,10 @@
 from hashlib import blake2b
 
 from balsamtide.config.model import Configuration
+from balsamtide.config.port import Snapshot
 from balsamtide.protocol.messages import Entry, PatchOperation
 
-__all__ = ["FakeLog", "make_entry"]
+__all__ = ["FakeLog", "SnapshotFakeLog", "make_entry"]
 
 
 def make_entry(number: int, *, padding: int = 0) -> Entry:
@@ -49,3 +50,16 @@
     def entries_after(self, number: int, *, max_bytes: int) -> tuple[Entry, ...]:
         """Return up to ten entries."""
         return tuple(self.log[number : number + 10])
+
+
+class SnapshotFakeLog(FakeLog):
+    """A fake log that keeps the snapshots offered to it."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.snapshots: list[Snapshot] = []
+
+    def offer_snapshot(self, snapshot: Snapshot, *, source: str, now: float) -> bool:
+        """Keep it."""
+        self.snapshots.append(snapshot)
+        return True
--- a/tests/test_membership_state.py
+++ b/tests/test_membership_state.py
@@ -10,7 +10,7 @@
 from trio_asyncio import aio_as_trio, open_loop
 from trustme import CA
 
-from balsamtide.config.port import Instance, Snapshot
+from balsamtide.config.port import Instance
 from balsamtide.membership import Membership
 from balsamtide.membership.joining import BulkFetcher, make_fetch
 from balsamtide.membership.state_rpc import (
@@ -24,24 +24,11 @@
 from balsamtide.protocol.rpc import RpcCodec
 from balsamtide.telemetry.memory_sink import MemorySink
 from bench.standins.members import make_instances
-from tests.fakes_membership import FakeLog, make_entry
+from tests.fakes_membership import SnapshotFakeLog, make_entry
 
 MARKS = (Mark("i", "leaving", "i", 1, 30_000_000),)
 
 
-class SnapshotFakeLog(FakeLog):
-    """A fake log that keeps the snapshots offered to it."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.snapshots: list[Snapshot] = []
-
-    def offer_snapshot(self, snapshot: Snapshot, *, source: str, now: float) -> bool:
-        """Keep it."""
-        self.snapshots.append(snapshot)
-        return True
-
-
 async def serve(
     service: StateService, ssl: SSLContext | None = None
 ) -> tuple[Server, Endpoint]:
