Load only what a role needs before packets are carried

Change: the finder of EarlyLoop has no base class; AuditRecord and RequestRecord move to telemetry.records; runtime.py is split by role and each role imports its own decisions; FlowPlane names what roles add, so that the node asks the runtime whether a stop has to wait.

--- a/bench/measures/cause.py
+++ b/bench/measures/cause.py
@@ -12,8 +12,8 @@
 from msgspec.msgpack import encode
 
 from balsamtide.telemetry.cause import diagnose
+from balsamtide.telemetry.records import AuditRecord, RequestRecord
 from balsamtide.telemetry.request_log import RequestLog
-from balsamtide.telemetry.sink import AuditRecord, RequestRecord
 from balsamtide.telemetry.stages import Stage
 from balsamtide.telemetry.telemetry import Telemetry
 from bench.figures import Figure
--- a/bench/slow_example.py
+++ b/bench/slow_example.py
@@ -14,8 +14,8 @@
 
 from balsamtide.protocol.messages import Endpoint
 from balsamtide.telemetry.admin import AdminApplication, serve_admin
+from balsamtide.telemetry.records import AuditRecord
 from balsamtide.telemetry.request_log import RequestLog
-from balsamtide.telemetry.sink import AuditRecord
 from balsamtide.telemetry.status import Status
 from balsamtide.telemetry.summary import RequestView, Summary
 from balsamtide.telemetry.telemetry import Telemetry
--- a/bench/standins/request_records.py
+++ b/bench/standins/request_records.py
@@ -15,8 +15,8 @@
 
 from balsamtide.protocol.verdict import Verdict
 from balsamtide.telemetry.diagnosis import CauseKind, Scope, ScopeKind
+from balsamtide.telemetry.records import RequestRecord
 from balsamtide.telemetry.request_log import RequestLog
-from balsamtide.telemetry.sink import RequestRecord
 from balsamtide.telemetry.stages import Stage
 from balsamtide.telemetry.summary import Summary, merge
 
--- a/src/balsamtide/admission/deadline_admission.py
+++ b/src/balsamtide/admission/deadline_admission.py
@@ -36,7 +36,8 @@
 from balsamtide.requests.exits import Exit
 from balsamtide.requests.hand_off import GRANT_S
 from balsamtide.requests.model import Outcome, RequestFacts
-from balsamtide.telemetry.sink import AuditRecord, Sink
+from balsamtide.telemetry.records import AuditRecord
+from balsamtide.telemetry.sink import Sink
 
 __all__ = ["AdmissionIdentity", "DeadlineAdmission"]
 
--- a/src/balsamtide/agent/request_handler.py
+++ b/src/balsamtide/agent/request_handler.py
@@ -24,7 +24,8 @@
 from balsamtide.requests.home import AskHome, Refuse, Replay, RunHere
 from balsamtide.requests.model import Outcome, Refusal
 from balsamtide.requests.runner import Header
-from balsamtide.telemetry.sink import RequestRecord, Sink
+from balsamtide.telemetry.records import RequestRecord
+from balsamtide.telemetry.sink import Sink
 from balsamtide.telemetry.stages import Stage, StageTimes
 
 __all__ = ["RequestHandler"]
--- a/src/balsamtide/agent/work.py
+++ b/src/balsamtide/agent/work.py
@@ -50,7 +50,8 @@
 from balsamtide.requests.stamp import StampCodec, StampIssuer
 from balsamtide.requests.succession import successors
 from balsamtide.settings.model import Settings
-from balsamtide.telemetry.sink import AuditRecord, Sink
+from balsamtide.telemetry.records import AuditRecord
+from balsamtide.telemetry.sink import Sink
 
 __all__ = ["AgentWork"]
 
--- a/src/balsamtide/balancer/balancer.py
+++ b/src/balsamtide/balancer/balancer.py
@@ -31,7 +31,8 @@
 from balsamtide.protocol.messages import Endpoint, Message, Reply
 from balsamtide.routing.table import RoutingTable, build_table
 from balsamtide.settings.model import Settings
-from balsamtide.telemetry.sink import AuditRecord, Sink
+from balsamtide.telemetry.records import AuditRecord
+from balsamtide.telemetry.sink import Sink
 from balsamtide.transport.datagram_socket import DatagramSocket
 
 __all__ = ["Balancer"]
--- a/src/balsamtide/config/holder.py
+++ b/src/balsamtide/config/holder.py
@@ -35,7 +35,8 @@
 from balsamtide.config.semantics import find_violation
 from balsamtide.config.waiting import Waiting
 from balsamtide.protocol.messages import Entry
-from balsamtide.telemetry.sink import AuditRecord, Sink
+from balsamtide.telemetry.records import AuditRecord
+from balsamtide.telemetry.sink import Sink
 
 __all__ = ["ConfigurationHolder", "Held"]
 
--- a/src/balsamtide/daemon.py
+++ b/src/balsamtide/daemon.py
@@ -22,7 +22,7 @@
     serve_admin,
 )
 from balsamtide.telemetry.query_rpc import Peer, PeerQuery, TelemetryService
-from balsamtide.telemetry.sink import AuditRecord
+from balsamtide.telemetry.records import AuditRecord
 from balsamtide.telemetry.status import Status
 from balsamtide.telemetry.telemetry import Telemetry
 
--- a/src/balsamtide/flow_daemon.py
+++ b/src/balsamtide/flow_daemon.py
@@ -14,14 +14,9 @@
 from balsamtide.flow_node.early_loop import EarlyLoop
 from balsamtide.flow_node.events import DOCUMENT_REJECTED, NODE_STARTED
 from balsamtide.flow_node.metrics import DOCUMENTS_REJECTED
-from balsamtide.flow_node.runtime import AgentRuntime, BalancerRuntime, FlowRuntime
+from balsamtide.flow_node.runtime import FlowRuntime
 from balsamtide.flow_node.settings import FlowSettings, FlowSettingsError
 from balsamtide.flow_node.settings_source import SettingsSource
-from balsamtide.flows.flow_agent import FlowAgent
-from balsamtide.flows.flow_balancer import FlowBalancer
-from balsamtide.flows.hunting import LoadHunting
-from balsamtide.flows.placement import LeastLoadedPlacement
-from balsamtide.flows.waiting import ObjectiveOrder
 from balsamtide.platform.packets import WirePackets
 from balsamtide.platform.settings import READINESS_PATH, read_settings, settings_path
 from balsamtide.platform.store import PlatformStore
@@ -87,28 +82,47 @@
         self.sink.flush()
 
     def _make_runtime(self) -> FlowRuntime:
-        settings, sink = self.settings, self.sink
-        host = host_number(settings.host)
-        seeds = [host_number(seed) for seed in settings.seeds]
+        settings = self.settings
         sharing = ViewSharing(
-            host=host, seeds=seeds, random=self.random, now=monotonic()
+            host=host_number(settings.host),
+            seeds=[host_number(seed) for seed in settings.seeds],
+            random=self.random,
+            now=monotonic(),
         )
-        packets = WirePackets()
         if settings.agent is None:
-            balancer = FlowBalancer(
-                host=host,
-                packets=packets,
-                sharing=sharing,
-                placement=LeastLoadedPlacement(zone=settings.zone, random=self.random),
-                sink=sink,
-            )
-            return BalancerRuntime(
-                plane=balancer, settings=settings, sharing=sharing, sink=sink
-            )
+            return self._make_balancer(sharing)
+        return self._make_agent(sharing, settings.agent.service)
+
+    # Each role loads only its own decisions.
+
+    def _make_balancer(self, sharing: ViewSharing) -> FlowRuntime:
+        from balsamtide.flow_node.balancer_runtime import BalancerRuntime
+        from balsamtide.flows.flow_balancer import FlowBalancer
+        from balsamtide.flows.placement import LeastLoadedPlacement
+
+        settings, sink = self.settings, self.sink
+        balancer = FlowBalancer(
+            host=sharing.host,
+            packets=WirePackets(),
+            sharing=sharing,
+            placement=LeastLoadedPlacement(zone=settings.zone, random=self.random),
+            sink=sink,
+        )
+        return BalancerRuntime(
+            plane=balancer, settings=settings, sharing=sharing, sink=sink
+        )
+
+    def _make_agent(self, sharing: ViewSharing, service: str) -> FlowRuntime:
+        from balsamtide.flow_node.agent_runtime import AgentRuntime
+        from balsamtide.flows.flow_agent import FlowAgent
+        from balsamtide.flows.hunting import LoadHunting
+        from balsamtide.flows.waiting import ObjectiveOrder
+
+        settings, sink = self.settings, self.sink
         agent = FlowAgent(
-            host=host,
-            service=settings.agent.service,
-            packets=packets,
+            host=sharing.host,
+            service=service,
+            packets=WirePackets(),
             sharing=sharing,
             hunting=LoadHunting(random=self.random),
             order=ObjectiveOrder(),
--- a/src/balsamtide/flow_node/early_loop.py
+++ b/src/balsamtide/flow_node/early_loop.py
@@ -6,7 +6,6 @@
 """
 
 from collections.abc import Callable, Coroutine
-from importlib.abc import MetaPathFinder
 from math import inf
 from select import POLLIN, poll
 from sys import meta_path
@@ -28,8 +27,11 @@
 LONGEST_PAUSE_S = 0.02
 
 
-class PacketsFirst(MetaPathFinder):
-    """Takes what has arrived before each module is loaded."""
+class PacketsFirst:
+    """A finder of modules that takes what has arrived before each one is loaded.
+
+    Its base class is left out: `importlib.abc` loads a dozen modules more.
+    """
 
     def __init__(self, take: Callable[[], None]) -> None:
         self.take = take
--- a/src/balsamtide/flow_node/node.py
+++ b/src/balsamtide/flow_node/node.py
@@ -30,12 +30,7 @@
 )
 from balsamtide.flow_node.http_server import HttpReply, HttpServer
 from balsamtide.flow_node.metrics import VIEW_PULLS
-from balsamtide.flow_node.runtime import (
-    AgentRuntime,
-    BalancerRuntime,
-    BatchHandler,
-    FlowRuntime,
-)
+from balsamtide.flow_node.runtime import BatchHandler, FlowRuntime
 from balsamtide.flow_node.settings import FlowSettings, FlowSettingsError
 from balsamtide.flow_node.settings_source import SettingsSource
 from balsamtide.flow_node.store_reader import StoreReader
@@ -54,11 +49,6 @@
 FLUSH_PERIOD_S = 0.1
 # Longest sleep of the timers.
 LONGEST_TIMER_S = 0.25
-# The routers ask twice a second and leave after two misses; packets are on their way
-# for some milliseconds more.
-LEAVE_S = 1.3
-# A balancer that got no packet for so long is out of the rotation.
-QUIET_S = 0.5
 # Kept of the time to stop, for the end itself.
 STOP_RESERVE_S = 1.0
 # How often a stop looks whether work is left.
@@ -221,18 +211,9 @@
     async def _finish(self) -> None:
         runtime = self.runtime
         latest = current_time() + runtime.settings.stop_timeout_s - STOP_RESERVE_S
-        if isinstance(runtime, BalancerRuntime):
-            await sleep(LEAVE_S)
-        while current_time() < latest and self._has_work():
+        while current_time() < latest and runtime.has_work(current_time()):
             await sleep(STOP_PERIOD_S)
 
-    def _has_work(self) -> bool:
-        now = current_time()
-        runtime = self.runtime
-        if isinstance(runtime, BalancerRuntime):
-            return now < runtime.packet_at + QUIET_S
-        return isinstance(runtime, AgentRuntime) and runtime.plane.load(now) > 0
-
     # Other processes
 
     async def _serve_views(self) -> None:
--- a/src/balsamtide/flow_node/runtime.py
+++ b/src/balsamtide/flow_node/runtime.py
@@ -14,9 +14,8 @@
 from balsamtide.flow_node.events import VIEW_CHANGED
 from balsamtide.flow_node.metrics import VIEW_AGE
 from balsamtide.flow_node.settings import FlowSettings
-from balsamtide.flows.flow_agent import FlowAgent
-from balsamtide.flows.flow_balancer import FlowBalancer
 from balsamtide.flows.metrics import PACKETS_REJECTED
+from balsamtide.flows.plane import FlowPlane
 from balsamtide.protocol.errors import DecodeError
 from balsamtide.protocol.flow_actions import (
     Action,
@@ -30,10 +29,7 @@
 from balsamtide.transport.addresses import host_number, host_text
 from balsamtide.transport.udp_socket import Received, UdpSocket
 
-__all__ = ["AgentRuntime", "BalancerRuntime", "FlowRuntime"]
-
-# Longest absence that peers assume; a restart takes well under a second.
-ABSENCE_S = 3.0
+__all__ = ["BatchHandler", "FlowRuntime", "PullStarter"]
 
 BatchHandler = Callable[[list[Received], float], None]
 PullStarter = Callable[[int], None]
@@ -52,7 +48,7 @@
         Log and metrics.
     """
 
-    plane: FlowBalancer | FlowAgent
+    plane: FlowPlane
 
     def __init__(
         self, *, settings: FlowSettings, sharing: ViewSharing, sink: LineSink
@@ -89,6 +85,10 @@
     def begin_stop(self) -> None:
         """Begin a planned stop."""
 
+    @abstractmethod
+    def has_work(self, now: float) -> bool:
+        """Whether a planned stop has to wait."""
+
     def apply_settings(self, settings: FlowSettings) -> None:
         """Take changed settings; addresses that are bound hold until a restart."""
         self.settings = settings
@@ -173,127 +173,3 @@
     ]
     gone = [t for name, t in before.targets.items() if name not in after.targets]
     return changed + [f"{target}=gone" for target in gone]
-
-
-class BalancerRuntime(FlowRuntime):
-    """Sockets of a balancer.
-
-    Parameters
-    ----------
-    plane : FlowBalancer
-        Its decisions.
-    settings, sharing, sink
-        As for `FlowRuntime`.
-    """
-
-    plane: FlowBalancer
-
-    def __init__(
-        self,
-        *,
-        plane: FlowBalancer,
-        settings: FlowSettings,
-        sharing: ViewSharing,
-        sink: LineSink,
-    ) -> None:
-        super().__init__(settings=settings, sharing=sharing, sink=sink)
-        self.plane = plane
-        self.ingress = UdpSocket(*settings.packets)
-        self.packet_at = 0.0
-
-    def receivers(self) -> list[tuple[UdpSocket, BatchHandler]]:
-        """Return the sockets with what takes their datagrams."""
-        return [(self.ingress, self._take_packets), (self.inner, self.take_frames)]
-
-    def _take_packets(self, batch: list[Received], now: float) -> None:
-        self.packet_at = now
-        for data, _ in batch:
-            self.act(self.plane.receive_packet(data, now))
-
-    def send_packet(self, action: ToClient | ToTarget) -> None:
-        """Send a reset to a client."""
-        if isinstance(action, ToClient):
-            address = (host_text(action.host), self.settings.packets[1])
-            self.ingress.send(action.packet, address)
-
-    def view_arrived(self, now: float, *, is_first: bool) -> Sequence[Action]:
-        """Handle the packets that came before a view that helps."""
-        return self.plane.take_early(now)
-
-    def is_ready(self) -> bool:
-        """Whether packets of clients are carried from here."""
-        return self.has_view and not self.is_stopping
-
-    def begin_stop(self) -> None:
-        """Let the routers know; packets are carried until they send no more."""
-        self.is_stopping = True
-
-
-class AgentRuntime(FlowRuntime):
-    """Sockets of an agent.
-
-    Parameters
-    ----------
-    plane : FlowAgent
-        Its decisions.
-    settings, sharing, sink
-        As for `FlowRuntime`; the settings are those of an agent.
-    """
-
-    plane: FlowAgent
-
-    def __init__(
-        self,
-        *,
-        plane: FlowAgent,
-        settings: FlowSettings,
-        sharing: ViewSharing,
-        sink: LineSink,
-    ) -> None:
-        super().__init__(settings=settings, sharing=sharing, sink=sink)
-        if settings.agent is None:
-            raise ValueError("the settings are not those of an agent")
-        self.plane = plane
-        self.target_socket = UdpSocket(*settings.agent.from_target)
-        self.to_target = settings.agent.to_target
-
-    def receivers(self) -> list[tuple[UdpSocket, BatchHandler]]:
-        """Return the sockets with what takes their datagrams."""
-        return [
-            (self.target_socket, self._take_packets),
-            (self.inner, self.take_frames),
-        ]
-
-    def _take_packets(self, batch: list[Received], now: float) -> None:
-        for data, _ in batch:
-            self.act(self.plane.receive_from_target(data, now))
-
-    def send_packet(self, action: ToClient | ToTarget) -> None:
-        """Send a packet to a client or to the target."""
-        if isinstance(action, ToTarget):
-            self.target_socket.send(action.packet, self.to_target)
-        else:
-            address = (host_text(action.host), self.settings.packets[1])
-            self.target_socket.send(action.packet, address)
-
-    def view_arrived(self, now: float, *, is_first: bool) -> Sequence[Action]:
-        """Tell the others at the start that the target takes flows again."""
-        if is_first:
-            return self.plane.announce_leaving(0.0, now)
-        return self.plane.view_changed(now)
-
-    def is_ready(self) -> bool:
-        """Whether the target's packets are carried from here."""
-        return not self.is_stopping
-
-    def begin_stop(self) -> None:
-        """Take no new flows, and tell the others."""
-        self.is_stopping = self.plane.is_stopping = True
-        self.act(self.plane.announce_leaving(ABSENCE_S, monotonic()))
-
-    def apply_settings(self, settings: FlowSettings) -> None:
-        """Take the target's service and address, and the seeds."""
-        super().apply_settings(settings)
-        if settings.agent is not None:
-            self.plane.set_service(settings.agent.service)
-            self.to_target = settings.agent.to_target
--- a/src/balsamtide/flows/plane.py
+++ b/src/balsamtide/flows/plane.py
@@ -1,5 +1,6 @@
 """What the decisions of balancer and agent have in common."""
 
+from abc import ABC, abstractmethod
 from collections.abc import Iterable
 from typing import Any
 
@@ -9,7 +10,7 @@
 from balsamtide.flows.metrics import FLOW_DECISIONS
 from balsamtide.flows.packet import PacketCodec, format_key
 from balsamtide.protocol.flow_actions import Action, SendFrame
-from balsamtide.protocol.flow_frames import Leaving
+from balsamtide.protocol.flow_frames import Frame, Leaving
 from balsamtide.telemetry.event import Event
 from balsamtide.telemetry.sink import Sink
 from balsamtide.transport.addresses import host_text
@@ -17,7 +18,7 @@
 __all__ = ["FlowPlane"]
 
 
-class FlowPlane:
+class FlowPlane(ABC):
     """Beliefs about the fleet, and the lines that explain decisions.
 
     Parameters
@@ -41,6 +42,23 @@
         self.sink = sink
         self.leaving: dict[int, float] = {}
 
+    # What the roles add
+
+    @abstractmethod
+    def receive_frame(self, frame: Frame, source: int, now: float) -> list[Action]:
+        """Take a frame of another process."""
+
+    @property
+    @abstractmethod
+    def deadline(self) -> float:
+        """When `tick` has something to do."""
+
+    @abstractmethod
+    def tick(self, now: float) -> list[Action]:
+        """Do what is due."""
+
+    # The view
+
     @property
     def view(self) -> FleetView:
         """Routes and targets as known here."""
--- a/src/balsamtide/membership/journal.py
+++ b/src/balsamtide/membership/journal.py
@@ -11,7 +11,8 @@
 from balsamtide.membership.metrics import MARKS_BELIEVED, MARKS_MADE
 from balsamtide.protocol.messages import Mark
 from balsamtide.telemetry.event import Event
-from balsamtide.telemetry.sink import AuditRecord, Sink
+from balsamtide.telemetry.records import AuditRecord
+from balsamtide.telemetry.sink import Sink
 
 __all__ = ["Journal"]
 
--- a/src/balsamtide/telemetry/__init__.py
+++ b/src/balsamtide/telemetry/__init__.py
@@ -12,7 +12,8 @@
 if TYPE_CHECKING:
     from balsamtide.telemetry.event import Event, Level, Metric, MetricKind
     from balsamtide.telemetry.memory_sink import MemorySink
-    from balsamtide.telemetry.sink import AuditRecord, RequestRecord, Sink
+    from balsamtide.telemetry.records import AuditRecord, RequestRecord
+    from balsamtide.telemetry.sink import Sink
     from balsamtide.telemetry.stages import Stage, StageTimes
     from balsamtide.telemetry.status import Status
 
@@ -33,13 +34,13 @@
 __getattr__ = lazy_names(
     __name__,
     {
-        "AuditRecord": "sink",
+        "AuditRecord": "records",
         "Event": "event",
         "Level": "event",
         "MemorySink": "memory_sink",
         "Metric": "event",
         "MetricKind": "event",
-        "RequestRecord": "sink",
+        "RequestRecord": "records",
         "Sink": "sink",
         "Stage": "stages",
         "StageTimes": "stages",
--- a/src/balsamtide/telemetry/audit.py
+++ b/src/balsamtide/telemetry/audit.py
@@ -8,7 +8,7 @@
 from msgspec.json import encode
 
 from balsamtide.telemetry.logging import format_time
-from balsamtide.telemetry.sink import AuditRecord
+from balsamtide.telemetry.records import AuditRecord
 
 __all__ = ["AuditEntry", "AuditTrail"]
 
--- a/src/balsamtide/telemetry/line_sink.py
+++ b/src/balsamtide/telemetry/line_sink.py
@@ -4,10 +4,13 @@
 from json import dumps
 from os import set_blocking, write
 from time import monotonic, time
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from balsamtide.telemetry.event import Event, Level, Metric
-from balsamtide.telemetry.sink import AuditRecord, RequestRecord, Sink
+from balsamtide.telemetry.sink import Sink
+
+if TYPE_CHECKING:
+    from balsamtide.telemetry.records import AuditRecord, RequestRecord
 
 __all__ = ["LineSink"]
 
@@ -104,10 +107,10 @@
             written = len(self.buffer)
         del self.buffer[:written]
 
-    def audit(self, record: AuditRecord) -> None:
+    def audit(self, record: "AuditRecord") -> None:
         """Leave out audit records; events report each change."""
 
-    def request(self, record: RequestRecord) -> None:
+    def request(self, record: "RequestRecord") -> None:
         """Leave out requests, which are sealed here; events report the flows."""
 
     def count(self, metric: Metric, amount: float = 1, **labels: str) -> None:
--- a/src/balsamtide/telemetry/memory_sink.py
+++ b/src/balsamtide/telemetry/memory_sink.py
@@ -4,7 +4,8 @@
 from typing import Any
 
 from balsamtide.telemetry.event import Event, Metric
-from balsamtide.telemetry.sink import AuditRecord, RequestRecord, Sink
+from balsamtide.telemetry.records import AuditRecord, RequestRecord
+from balsamtide.telemetry.sink import Sink
 
 __all__ = ["MemorySink"]
 
--- a/src/balsamtide/telemetry/request_log.py
+++ b/src/balsamtide/telemetry/request_log.py
@@ -12,7 +12,7 @@
 from hdrh.histogram import HdrHistogram
 
 from balsamtide.protocol.verdict import Verdict
-from balsamtide.telemetry.sink import RequestRecord
+from balsamtide.telemetry.records import RequestRecord
 from balsamtide.telemetry.summary import (
     HISTOGRAM_LARGEST_UNITS,
     HISTOGRAM_UNIT_S,
--- a/src/balsamtide/telemetry/summary.py
+++ b/src/balsamtide/telemetry/summary.py
@@ -9,7 +9,7 @@
 
 from balsamtide.protocol.verdict import Verdict
 from balsamtide.telemetry.cells import STAGES, Cells, StageCells
-from balsamtide.telemetry.sink import RequestRecord
+from balsamtide.telemetry.records import RequestRecord
 from balsamtide.telemetry.stages import Stage
 
 __all__ = [
--- a/src/balsamtide/telemetry/telemetry.py
+++ b/src/balsamtide/telemetry/telemetry.py
@@ -15,10 +15,11 @@
 from balsamtide.telemetry.metrics import (
     EVENTS_TOTAL,
 )
+from balsamtide.telemetry.records import AuditRecord, RequestRecord
 from balsamtide.telemetry.registry import MetricRegistry
 from balsamtide.telemetry.request_log import RequestLog
 from balsamtide.telemetry.request_metrics import add_request_metrics
-from balsamtide.telemetry.sink import AuditRecord, RequestRecord, Sink
+from balsamtide.telemetry.sink import Sink
 
 __all__ = ["Telemetry"]
 
--- a/tests/fakes_admin.py
+++ b/tests/fakes_admin.py
@@ -11,7 +11,7 @@
 from balsamtide.config.model import Address, Configuration, Service, Target
 from balsamtide.telemetry.admin import AdminApplication, NumberedConfiguration
 from balsamtide.telemetry.event import Event, Level
-from balsamtide.telemetry.sink import AuditRecord
+from balsamtide.telemetry.records import AuditRecord
 from balsamtide.telemetry.stages import Stage
 from balsamtide.telemetry.status import Status
 from balsamtide.telemetry.summary import Summary
--- a/tests/fakes_telemetry.py
+++ b/tests/fakes_telemetry.py
@@ -4,7 +4,7 @@
 from io import StringIO
 
 from balsamtide.protocol.verdict import Verdict
-from balsamtide.telemetry.sink import RequestRecord
+from balsamtide.telemetry.records import RequestRecord
 from balsamtide.telemetry.stages import Stage
 from balsamtide.telemetry.telemetry import Telemetry
 
--- a/tests/test_flow_node.py
+++ b/tests/test_flow_node.py
@@ -15,11 +15,11 @@
 from trio.testing import memory_stream_pair
 
 from balsamtide.fleet.store import Listing, StoreError
+from balsamtide.flow_node.balancer_runtime import BalancerRuntime
 from balsamtide.flow_node.early_client import EarlyClient
 from balsamtide.flow_node.early_loop import EarlyLoop
 from balsamtide.flow_node.http import HttpExchange
 from balsamtide.flow_node.http_server import HttpReply, HttpServer
-from balsamtide.flow_node.runtime import BalancerRuntime
 from balsamtide.flow_node.settings_source import SettingsSource
 from balsamtide.flows.events import FLOW_PLACED, FLOW_REFUSED
 from balsamtide.flows.flow_balancer import FlowBalancer
@@ -330,7 +330,7 @@
 def fleet(tmp_path):
     """One balancer and two agents with their targets."""
     fleet = LoopbackFleet(tmp_path)
-    fleet.store.put("op/config", configuration_document(ADDRESS, SERVICE))
+    fleet.store.put("op/config", configuration_document({ADDRESS: SERVICE}))
     try:
         fleet.start("127.0.2.1", SERVICE)
         fleet.start("127.0.2.2", SERVICE)
--- a/tests/test_telemetry_admin.py
+++ b/tests/test_telemetry_admin.py
@@ -10,7 +10,7 @@
 from balsamtide.protocol.messages import Endpoint
 from balsamtide.telemetry.admin import AdminApplication, serve_admin
 from balsamtide.telemetry.event import Event, Level
-from balsamtide.telemetry.sink import AuditRecord
+from balsamtide.telemetry.records import AuditRecord
 from balsamtide.telemetry.status import Status
 from tests.fakes_telemetry import EPOCH_S, make_record, make_telemetry
 
--- a/tests/test_telemetry_log.py
+++ b/tests/test_telemetry_log.py
@@ -11,8 +11,8 @@
 from balsamtide.telemetry.event import Event, Level, Metric, MetricKind
 from balsamtide.telemetry.events import REPEATS_SUPPRESSED, SERIES_LIMIT
 from balsamtide.telemetry.logging import LoggedEvent
+from balsamtide.telemetry.records import AuditRecord
 from balsamtide.telemetry.registry import MAX_SERIES
-from balsamtide.telemetry.sink import AuditRecord
 from balsamtide.telemetry.telemetry import Telemetry
 from tests.fakes_telemetry import EPOCH_S, FakeClock, make_record, make_telemetry
 
--- a/tests/test_telemetry_requests.py
+++ b/tests/test_telemetry_requests.py
@@ -12,6 +12,7 @@
 from balsamtide.telemetry.cause import SILENT_REASONS, diagnose
 from balsamtide.telemetry.cells import BUCKETS, bucket_of, lower_bound_s
 from balsamtide.telemetry.diagnosis import CauseKind
+from balsamtide.telemetry.records import RequestRecord
 from balsamtide.telemetry.request_log import (
     FAILED_REQUESTS,
     GROUP_MINUTES,
@@ -21,7 +22,6 @@
     SLOWEST_PER_MINUTE,
     RequestLog,
 )
-from balsamtide.telemetry.sink import RequestRecord
 from balsamtide.telemetry.stages import Stage
 from balsamtide.telemetry.summary import (
     MAX_GROUPS,
