--- a/src/balsamtide/flow_node/daemon.py
+++ b/src/balsamtide/flow_node/daemon.py
@@ -1,13 +1,10 @@
-"""The daemon for raw packets: ``python -m balsamtide.flow_daemon``.
-
-Its role and addresses come from the platform's settings file.
-"""
+"""One process that carries raw packets, from its start to its planned stop."""
 
 import gc
 import sys
+from collections.abc import Callable
 from random import SystemRandom
-from signal import SIGHUP, SIGTERM, signal
-from time import monotonic, process_time, time
+from time import monotonic, process_time
 
 from balsamtide.fleet.sharing import ViewSharing
 from balsamtide.flow_node.early_client import EarlyClient
@@ -23,7 +20,7 @@
 from balsamtide.telemetry.line_sink import LineSink
 from balsamtide.transport.addresses import host_number
 
-__all__ = ["EXIT_SETTINGS", "FlowDaemon", "main"]
+__all__ = ["EXIT_SETTINGS", "FlowDaemon", "run_daemon"]
 
 EXIT_SETTINGS = 2
 # Longest wait of one watch; a connection that went silent is noticed after it.
@@ -41,22 +38,27 @@
         Valid settings.
     source : SettingsSource
         Where changed settings come from.
+    is_stop_requested : callable
+        Whether a signal asked for a planned stop while the process loads.
     """
 
-    def __init__(self, settings: FlowSettings, source: SettingsSource) -> None:
+    def __init__(
+        self,
+        settings: FlowSettings,
+        source: SettingsSource,
+        *,
+        is_stop_requested: Callable[[], bool],
+    ) -> None:
         self.settings = settings
         self.source = source
         self.random = SystemRandom()
         self.sink = LineSink(instance=settings.instance)
-        self.has_stop_request = False
+        self.is_stop_requested = is_stop_requested
 
     def run(self) -> None:
         """Run until a planned stop has ended."""
         # Loading makes no garbage worth a search.
         gc.disable()
-        signal(SIGTERM, self._request_stop)
-        # The settings are looked at soon in any case.
-        signal(SIGHUP, lambda *_: None)
         runtime = self._make_runtime()
         self._report_start()
         client = EarlyClient(self.settings.store)
@@ -67,9 +69,6 @@
         gc.freeze()
         self._run_node(runtime)
 
-    def _request_stop(self, *_: object) -> None:
-        self.has_stop_request = True
-
     def _report_start(self) -> None:
         agent = self.settings.agent
         self.sink.event(
@@ -129,7 +128,6 @@
             sink=sink,
             flow_lifetime_s=settings.flow_lifetime_s,
             now=monotonic(),
-            started_ms=round(time() * 1000),
         )
         return AgentRuntime(plane=agent, settings=settings, sharing=sharing, sink=sink)
 
@@ -150,7 +148,7 @@
             store=PlatformStore(client, watch_s=WATCH_S, on_reject=self._reject),
             readiness_path=READINESS_PATH,
             random=self.random,
-            is_stop_requested=lambda: self.has_stop_request,
+            is_stop_requested=self.is_stop_requested,
         )
         run(node.run, clock=MonotonicClock())
 
@@ -161,8 +159,13 @@
     import balsamtide.flow_node.node  # noqa: F401
 
 
-def main() -> int:
-    """Run the daemon and return its exit code.
+def run_daemon(is_stop_requested: Callable[[], bool]) -> int:
+    """Run a daemon with the settings that the platform wrote.
+
+    Parameters
+    ----------
+    is_stop_requested : callable
+        Whether a signal asked for a planned stop.
 
     Returns
     -------
@@ -176,9 +179,5 @@
         for problem in error.problems:
             print(f"settings: {problem}", file=sys.stderr)
         return EXIT_SETTINGS
-    FlowDaemon(settings, source).run()
+    FlowDaemon(settings, source, is_stop_requested=is_stop_requested).run()
     return 0
-
-
-if __name__ == "__main__":
-    sys.exit(main())
--- a/src/balsamtide/flows/agent_state.py
+++ b/src/balsamtide/flows/agent_state.py
@@ -22,9 +22,6 @@
 
 # A target answers an opening packet at once; some scheduling delays of a slow one.
 HANDSHAKE_TIMEOUT_S = 0.1
-# A target that started at most so long before its agent started with it: an agent that
-# was killed needs longer to be back, and clocks of one instance agree.
-STARTED_TOGETHER_MS = 400
 # Openings that the target gets beyond its slots: the handshake of the next request then
 # overlaps with the work on the present one.
 LOOKAHEAD = 1
@@ -79,8 +76,6 @@
         A flow that is older may be forgotten.
     now : float
         Local time of the start.
-    started_ms : int
-        Unix milliseconds of the start.
     """
 
     def __init__(
@@ -95,7 +90,6 @@
         sink: Sink,
         flow_lifetime_s: float,
         now: float,
-        started_ms: int,
     ) -> None:
         super().__init__(host=host, packets=packets, sharing=sharing, sink=sink)
         self.hunting = hunting
@@ -109,7 +103,6 @@
         self.is_stopping = False
         # Flows that are older than this process may be open at the target.
         self.knows_all_at = now + flow_lifetime_s
-        self.started_ms = started_ms
         self.sweep_at = now
         self.queue_at = inf
         self.set_service(service)
@@ -141,14 +134,12 @@
         return ""
 
     def _knows_all(self, now: float) -> bool:
-        """Whether every flow that is open at the target is known here."""
-        if now >= self.knows_all_at:
-            return True
-        target = self.own_target()
-        # All packets of the target pass this agent, so nothing was open before.
-        return target is not None and (
-            target.started_ms > self.started_ms - STARTED_TOGETHER_MS
-        )
+        """Whether every flow that is open at the target is known here.
+
+        Times of starts say nothing about it: the time of day may have jumped between
+        the start of the target and that of this process.
+        """
+        return now >= self.knows_all_at
 
     def _capacity(self) -> int:
         target = self.own_target()
--- a/src/balsamtide/flows/flow_agent.py
+++ b/src/balsamtide/flows/flow_agent.py
@@ -162,6 +162,7 @@
             self.flows.add(flow)
         was_tentative, flow.is_tentative = flow.is_tentative, False
         self.flows.touch(flow, self._expiry(now))
+        flow.note_sent(packet.sequence, packet.length)
         if packet.is_syn:
             self._take_handshake(flow, packet, now)
         elif packet.length or packet.is_fin:
@@ -174,7 +175,9 @@
         return []
 
     def _take_handshake(self, flow: LocalFlow, packet: FlowPacket, now: float) -> None:
-        flow.first_sequence = packet.sequence
+        if flow.first_sequence != packet.sequence:
+            flow.first_sequence = packet.sequence
+            flow.sent = 0
         if self.handshakes.pop(flow.key, None) is not None:
             self.sink.observe(OPEN_SECONDS, now - flow.delivered_at)
 
--- a/src/balsamtide/flows/flow_balancer.py
+++ b/src/balsamtide/flows/flow_balancer.py
@@ -332,7 +332,8 @@
         self.sink.event(FLOW_FOUND, flow=format_key(key), outcome="unknown")
         # Right after an outage of the store not every target is listed.
         is_settled = now >= self.view.settles_at and self.sharing.is_fresh(now)
-        if not is_settled or search.is_silent or not packet.length:
+        is_denied = bool(search.asked) and not search.is_silent
+        if not is_settled or not is_denied or not packet.length:
             self.report_dropped(key, now, "no agent knows the flow")
             return []
         self.report(FLOW_LOST, key, now)
--- a/src/balsamtide/flows/local_flows.py
+++ b/src/balsamtide/flows/local_flows.py
@@ -14,8 +14,8 @@
 RESERVATION_S = 0.03
 # A request that got no answer for so long no longer counts as work.
 MAX_WORK_S = 10.0
-# A client acknowledges less than this of one flow, in octets.
-MAX_SEQUENCE_SPAN = 1 << 26
+# Numbers of a flow beside its octets: one for each end of the target's side.
+CONTROL_NUMBERS = 2
 # Weight of one request in the mean service time.
 SERVICE_TIME_GAIN = 0.1
 
@@ -36,6 +36,8 @@
         When it is forgotten, unless packets come.
     first_sequence : int or None
         Sequence of the target's handshake, None if this agent did not see it.
+    sent : int
+        Octets that the target sent, as far as this agent saw.
     is_open : bool
         Whether the client took the target's handshake.
     is_tentative : bool
@@ -55,6 +57,7 @@
     delivered_at: float
     expires_at: float
     first_sequence: int | None = None
+    sent: int = 0
     is_open: bool = False
     is_tentative: bool = False
     is_offered: bool = False
@@ -63,12 +66,20 @@
     busy_before: int = 0
 
     def is_handshake_of(self, acknowledgement: int) -> bool:
-        """Whether a client's acknowledgement belongs to this target's handshake."""
+        """Whether a client's acknowledgement belongs to this target's handshake.
+
+        All packets of the target pass this agent, so a client can't acknowledge more.
+        """
         if self.first_sequence is None:
             return True
-        return sequence_distance(acknowledgement, self.first_sequence) < (
-            MAX_SEQUENCE_SPAN
-        )
+        distance = sequence_distance(acknowledgement, self.first_sequence)
+        return distance <= self.sent + CONTROL_NUMBERS
+
+    def note_sent(self, sequence: int, length: int) -> None:
+        """Note a packet of the target."""
+        if self.first_sequence is not None:
+            end = sequence_distance(sequence + length, self.first_sequence)
+            self.sent = max(self.sent, end)
 
 
 class LocalFlows:
--- a/tests/test_flow_balancer.py
+++ b/tests/test_flow_balancer.py
@@ -198,6 +198,15 @@
     assert not balancer.searches.searches
 
 
+def test_nobody_to_ask_is_no_ground_for_a_reset():
+    """A list without targets says nothing about flows that are open."""
+    view = replace(make_view(), targets={})
+    balancer = make_balancer(view)
+    actions = balancer.receive_packet(DATA, NOW)
+    actions += balancer.tick(NOW + 1.0)
+    assert of_kind(actions, ToClient) == []
+
+
 @pytest.mark.parametrize(
     ("returning", "resets", "owner"),
     [(HOSTS, 1, None), (HOSTS[:2], 0, HOSTS[2]), (HOSTS[:1], 0, None)],
--- a/tests/test_flow_node.py
+++ b/tests/test_flow_node.py
@@ -386,6 +386,27 @@
     assert fleet.call() == b"answer"
 
 
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGHUP])
+def test_signals_are_taken_before_anything_else_loads(number):
+    """A signal that comes while modules load ends no process."""
+    code = (
+        "import os, sys, signal\n"
+        "class Finder:\n"
+        "    def find_spec(self, name, *_):\n"
+        "        if name == 'balsamtide.flow_node.daemon':\n"
+        f"            os.kill(os.getpid(), {int(number)})\n"
+        "            sys.exit(7)\n"
+        "sys.meta_path.insert(0, Finder())\n"
+        "from balsamtide.flow_daemon import main\n"
+        "main()\n"
+    )
+    environment = dict(os.environ) | {"PYTHONPATH": "src"}
+    done = subprocess.run(
+        [sys.executable, "-c", code], env=environment, timeout=START_TIMEOUT_S
+    )
+    assert done.returncode == 7
+
+
 @pytest.mark.processes
 def test_real_daemons_refuse_bad_settings(tmp_path):
     """Invalid settings are listed, and the process exits with 2."""
