--- a/bench/standins/flow_world.py
+++ b/bench/standins/flow_world.py
@@ -21,9 +21,9 @@
 )
 from balsamtide.flows.flow_agent import FlowAgent
 from balsamtide.flows.flow_balancer import FlowBalancer
-from balsamtide.flows.hunting import HuntingPolicy, LoadHunting
 from balsamtide.flows.packet import FlowPacket
 from balsamtide.flows.placement import LeastLoadedPlacement, PlacementPolicy
+from balsamtide.flows.spillover import LoadSpillover, SpilloverPolicy
 from balsamtide.flows.waiting import ObjectiveOrder, QueueOrder
 from balsamtide.platform.packets import (
     ACK,
@@ -173,7 +173,7 @@
         Sizes and rates.
     placement : callable or None
         Makes the policy of a balancer from a random source.
-    hunting : callable or None
+    spillover : callable or None
         Makes the policy of an agent.
     order : QueueOrder or None
         Order of waiting openings.
@@ -184,7 +184,7 @@
         options: WorldOptions,
         *,
         placement: Callable[[Random], PlacementPolicy] | None = None,
-        hunting: Callable[[Random], HuntingPolicy] | None = None,
+        spillover: Callable[[Random], SpilloverPolicy] | None = None,
         order: QueueOrder | None = None,
     ) -> None:
         self.options = options
@@ -206,7 +206,7 @@
         make_placement = placement or (
             lambda random: LeastLoadedPlacement(zone="z", random=random)
         )
-        self.make_hunting = hunting or (lambda random: LoadHunting(random=random))
+        self.make_spillover = spillover or (lambda random: LoadSpillover(random=random))
         self.order = order or ObjectiveOrder()
         self.balancers = {
             FIRST_BALANCER + n: self._make_balancer(FIRST_BALANCER + n, make_placement)
@@ -272,7 +272,7 @@
             service=SERVICE,
             packets=self.packets,
             sharing=self._make_sharing(host),
-            hunting=self.make_hunting(self.random),
+            spillover=self.make_spillover(self.random),
             order=self.order,
             sink=self.sink,
             flow_lifetime_s=60.0,
--- a/src/balsamtide/flow_node/daemon.py
+++ b/src/balsamtide/flow_node/daemon.py
@@ -114,7 +114,7 @@
     def _make_agent(self, sharing: ViewSharing, service: str) -> FlowRuntime:
         from balsamtide.flow_node.agent_runtime import AgentRuntime
         from balsamtide.flows.flow_agent import FlowAgent
-        from balsamtide.flows.hunting import LoadHunting
+        from balsamtide.flows.spillover import LoadSpillover
         from balsamtide.flows.waiting import ObjectiveOrder
 
         settings, sink = self.settings, self.sink
@@ -123,7 +123,7 @@
             service=service,
             packets=WirePackets(),
             sharing=sharing,
-            hunting=LoadHunting(random=self.random),
+            spillover=LoadSpillover(random=self.random),
             order=ObjectiveOrder(),
             sink=sink,
             flow_lifetime_s=settings.flow_lifetime_s,
--- a/src/balsamtide/flows/agent_state.py
+++ b/src/balsamtide/flows/agent_state.py
@@ -5,11 +5,11 @@
 
 from balsamtide.fleet.sharing import ViewSharing
 from balsamtide.fleet.view import FlowTarget
-from balsamtide.flows.hunting import HuntingPolicy
 from balsamtide.flows.local_flows import LocalFlows
 from balsamtide.flows.metrics import PACKETS
 from balsamtide.flows.packet import PacketCodec
 from balsamtide.flows.plane import FlowPlane
+from balsamtide.flows.spillover import SpilloverPolicy
 from balsamtide.flows.waiting import OpeningQueue, QueueOrder
 from balsamtide.protocol.flow_actions import Action, ToTarget
 from balsamtide.protocol.flow_frames import (
@@ -66,7 +66,7 @@
         The platform's packets.
     sharing : ViewSharing
         The view of routes and targets.
-    hunting : HuntingPolicy
+    spillover : SpilloverPolicy
         Decides about new flows.
     order : QueueOrder
         Which of the waiting openings goes first.
@@ -85,14 +85,14 @@
         service: str,
         packets: PacketCodec,
         sharing: ViewSharing,
-        hunting: HuntingPolicy,
+        spillover: SpilloverPolicy,
         order: QueueOrder,
         sink: Sink,
         flow_lifetime_s: float,
         now: float,
     ) -> None:
         super().__init__(host=host, packets=packets, sharing=sharing, sink=sink)
-        self.hunting = hunting
+        self.spillover = spillover
         self.flows = LocalFlows()
         self.queue = OpeningQueue(order=order)
         self.passed: dict[bytes, PassedFlow] = {}
--- a/src/balsamtide/flows/new_flows.py
+++ b/src/balsamtide/flows/new_flows.py
@@ -1,4 +1,4 @@
-"""New flows at an agent: delivery, waiting, hunting for a slot, refusal."""
+"""New flows at an agent: delivery, waiting, search for a slot, refusal."""
 
 from dataclasses import replace
 from math import inf
@@ -10,15 +10,15 @@
     FLOW_TAKEN,
     FLOW_WAITS,
 )
-from balsamtide.flows.hunting import (
+from balsamtide.flows.local_flows import LocalFlow
+from balsamtide.flows.metrics import HOPS
+from balsamtide.flows.packet import FlowPacket
+from balsamtide.flows.spillover import (
     Pass,
     Refuse,
     Situation,
     Take,
 )
-from balsamtide.flows.local_flows import LocalFlow
-from balsamtide.flows.metrics import HOPS
-from balsamtide.flows.packet import FlowPacket
 from balsamtide.flows.waiting import Waiting
 from balsamtide.protocol.flow_actions import Action, SendFrame, ToClient
 from balsamtide.protocol.flow_frames import (
@@ -78,7 +78,7 @@
             return self._pass_anywhere(packet, carry, obstacle, now)
         if carry.must_take:
             return self._deliver_or_wait(packet, carry, "told to", now)
-        return self._hunt(packet, carry, now)
+        return self._spill_over(packet, carry, now)
 
     def _take_copy(
         self, packet: FlowPacket, carry: Carry, flow: LocalFlow, now: float
@@ -114,9 +114,9 @@
         met = (*carry.visited, self.host)
         return [t.host for t in self.open_targets(service, now, without=met)]
 
-    def _hunt(self, packet: FlowPacket, carry: Carry, now: float) -> list[Action]:
+    def _spill_over(self, packet: FlowPacket, carry: Carry, now: float) -> list[Action]:
         route = self.view.route(packet.destination)
-        choice = self.hunting.decide(
+        choice = self.spillover.decide(
             Situation(
                 host=self.host,
                 busy=self._demand(now),
@@ -210,7 +210,7 @@
         actions: list[Action] = []
         for waiting in self.queue.take_all():
             carry = replace(waiting.aged_carry(now), visited=(), best_host=0)
-            actions += self._hunt(waiting.packet, carry, now)
+            actions += self._spill_over(waiting.packet, carry, now)
         return actions
 
     def _deliver_opening(
--- a/src/balsamtide/flows/hunting.py
+++ b/src/balsamtide/flows/spillover.py
@@ -11,9 +11,9 @@
 from random import Random
 
 __all__ = [
-    "HuntingPolicy",
-    "LoadHunting",
-    "NoHunting",
+    "SpilloverPolicy",
+    "LoadSpillover",
+    "NoSpillover",
     "Pass",
     "Refuse",
     "Situation",
@@ -104,7 +104,7 @@
 Choice = Take | Pass | Refuse
 
 
-class HuntingPolicy(ABC):
+class SpilloverPolicy(ABC):
     """Decides about a new flow at an agent."""
 
     @abstractmethod
@@ -112,7 +112,7 @@
         """Return what becomes of the flow."""
 
 
-class NoHunting(HuntingPolicy):
+class NoSpillover(SpilloverPolicy):
     """Takes every flow, the baseline."""
 
     def decide(self, situation: Situation) -> Choice:
@@ -120,7 +120,7 @@
         return Take("always")
 
 
-class LoadHunting(HuntingPolicy):
+class LoadSpillover(SpilloverPolicy):
     """Looks for a free slot among the agents of the service.
 
     Parameters
--- a/tests/fakes_packets.py
+++ b/tests/fakes_packets.py
@@ -13,8 +13,8 @@
 )
 from balsamtide.flows.flow_agent import FlowAgent
 from balsamtide.flows.flow_balancer import FlowBalancer
-from balsamtide.flows.hunting import LoadHunting
 from balsamtide.flows.placement import LeastLoadedPlacement
+from balsamtide.flows.spillover import LoadSpillover
 from balsamtide.flows.waiting import ObjectiveOrder
 from balsamtide.platform.packets import ACK, BOUNCED, HEAD, SYN, WirePackets
 from balsamtide.protocol.flow_actions import Action, SendFrame
@@ -105,7 +105,7 @@
         service="orders",
         packets=PACKETS,
         sharing=make_sharing(host, view or make_view(), age_s=age_s),
-        hunting=LoadHunting(random=Random(1)),
+        spillover=LoadSpillover(random=Random(1)),
         order=ObjectiveOrder(),
         sink=MemorySink(),
         flow_lifetime_s=flow_lifetime_s,
--- a/tests/test_flow_loads.py
+++ b/tests/test_flow_loads.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from balsamtide.flows.hunting import NoHunting
 from balsamtide.flows.placement import HashPlacement
+from balsamtide.flows.spillover import NoSpillover
 from balsamtide.flows.waiting import ArrivalOrder, ObjectiveOrder
 from bench.standins.flow_world import START, FlowWorld, ServedShare, WorldOptions
 
@@ -20,7 +20,10 @@
     objective_s=0.2,
     timeout_s=2.0,
 )
-HASH_ONLY = {"placement": lambda _: HashPlacement(), "hunting": lambda _: NoHunting()}
+HASH_ONLY = {
+    "placement": lambda _: HashPlacement(),
+    "spillover": lambda _: NoSpillover(),
+}
 
 
 def play(options: WorldOptions, rate: float, **policies) -> ServedShare:
