Leave openings of flows that were learnt later to the target

An agent that was restarted learns flows from its target's packets and has not seen their openings, so it can't tell a copy from a new flow of the same port. It swallowed both; now the target decides. Found by reading; the test failed before.

--- a/src/balsamtide/flows/new_flows.py
+++ b/src/balsamtide/flows/new_flows.py
@@ -85,7 +85,7 @@
     ) -> list[Action]:
         """Take a copy of an opening whose flow is here."""
         taken = SendFrame(carry.origin, Taken(packet.client_key, self.load(now)))
-        if flow.is_open:
+        if flow.is_open and flow.opening_sequence is not None:
             # The client has the handshake; the copy was late.
             return [taken]
         flow.origin = carry.origin
--- a/src/balsamtide/flows/packet.py
+++ b/src/balsamtide/flows/packet.py
@@ -7,12 +7,14 @@
 from balsamtide.transport.addresses import host_text
 
 __all__ = [
+    "SEQUENCE_MODULUS",
     "ClientAddress",
     "FlowPacket",
     "FlowPacketError",
     "PacketCodec",
     "flow_key",
     "format_key",
+    "sequence_distance",
 ]
 
 KEY = Struct(">IHIH")
--- a/tests/test_flow_agent.py
+++ b/tests/test_flow_agent.py
@@ -286,6 +286,15 @@
     assert len(of_kind(actions, ToTarget)) == 1
 
 
+def test_opening_for_a_flow_learnt_later_is_left_to_the_target():
+    """An agent that did not see a flow's opening can't tell a copy from a new flow."""
+    agent = make_agent()
+    agent.receive_from_target(target_packet(sequence=5, data=9), NOW)
+    actions = agent.receive_frame(carry(opening()), BALANCER, NOW)
+    assert [action.packet for action in of_kind(actions, ToTarget)] == [opening()]
+    assert len(frames(actions, Taken)) == 1
+
+
 def test_new_flow_from_a_port_that_was_used_is_opened():
     """An opening with another sequence is no copy."""
     agent = make_agent()
