--- a/bench/fault_soak/soak_run.py
+++ b/bench/fault_soak/soak_run.py
@@ -21,7 +21,7 @@
     configuration_document,
     target_document,
 )
-from bench.standins.ports import free_port
+from bench.standins.ports import EVERY_HOST, free_port
 
 __all__ = ["SoakOptions", "SoakResult", "SoakRun", "play"]
 
@@ -113,7 +113,7 @@
         options = self.options
         self.random = Random(options.seed)
         self.log = PromiseLog(current_time())
-        self.ports = {name: free_port() for name in PORT_NAMES}
+        self.ports = {name: free_port(EVERY_HOST) for name in PORT_NAMES}
         self.store = LoopbackStore("127.0.0.1")
         balancers = [f"127.0.1.{n + 1}" for n in range(options.balancers)]
         self.fleet = SoakFleet(
--- a/tests/test_flow_node.py
+++ b/tests/test_flow_node.py
@@ -38,7 +38,7 @@
     settings_document,
     target_document,
 )
-from bench.standins.ports import free_port
+from bench.standins.ports import EVERY_HOST, free_port
 from tests.fakes_packets import make_sharing, make_view, opening
 
 SERVICE = "orders"
@@ -244,7 +244,7 @@
     def __init__(self, folder):
         self.folder = folder
         self.ports = {
-            name: free_port()
+            name: free_port(EVERY_HOST)
             for name in (
                 "packets",
                 "ready",
