--- a/bench/fault_soak/__main__.py
+++ b/bench/fault_soak/__main__.py
@@ -10,6 +10,7 @@
 from random import SystemRandom
 from shutil import rmtree
 from tempfile import mkdtemp
+from threading import Lock
 from time import monotonic
 
 import trio
@@ -78,6 +79,25 @@
     return subprocess.run(command, check=False).returncode
 
 
+def _play_all(options: Namespace) -> int:
+    """Play all seeds, some at a time, and return how many failed."""
+    seeds = _seeds(options)
+    lock = Lock()
+
+    def play_in_turn(_: int) -> int:
+        failed = 0
+        while True:
+            # An executor would draw fresh seeds far ahead of those that are played.
+            with lock:
+                seed = next(seeds, None)
+            if seed is None:
+                return failed
+            failed += _play_apart(seed, options)
+
+    with ThreadPoolExecutor(options.jobs) as pool:
+        return sum(pool.map(play_in_turn, range(options.jobs)))
+
+
 def main() -> int:
     """Play the seeds and return 1 if a promise was broken."""
     options = _parse()
@@ -85,9 +105,7 @@
         result = _play_one(options.seeds[0], options)
         _report(result)
         return 1 if result.breaches else 0
-    with ThreadPoolExecutor(options.jobs) as pool:
-        played = pool.map(lambda seed: _play_apart(seed, options), _seeds(options))
-        failed = sum(played)
+    failed = _play_all(options)
     print(f"{failed} failed")
     return 1 if failed else 0
 
