--- /dev/null
+++ b/bench/fault_soak/fleet.py
@@ -0,0 +1,173 @@
+"""The processes under test: real daemons on loopback addresses."""
+
+import signal
+import subprocess
+import sys
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from json import dumps
+from os import environ
+from pathlib import Path
+
+from trio import Nursery, current_time, sleep
+
+from bench.fault_soak.promises import Promise, PromiseLog
+from bench.fault_soak.store_link import StoreLink
+from bench.standins.flow_platform import LoopbackStore, settings_document
+
+__all__ = ["DaemonProcess", "SoakFleet"]
+
+POLL_S = 0.05
+# The platform ends a process this long after the request to stop.
+GRACE_S = 6.0
+
+
+@dataclass(slots=True)
+class DaemonProcess:
+    """One daemon.
+
+    Parameters
+    ----------
+    host : str
+        Loopback address of its instance.
+    service : str
+        Service of its target, empty for a balancer.
+    link : StoreLink
+        Its way to the store.
+    child : Popen or None
+        The running process.
+    is_end_expected : bool
+        Whether a signal of the soak ends it.
+    """
+
+    host: str
+    service: str
+    link: StoreLink
+    child: subprocess.Popen[bytes] | None = None
+    is_end_expected: bool = False
+    starts: int = 0
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process lives."""
+        return self.child is not None and self.child.poll() is None
+
+
+@dataclass(slots=True)
+class SoakFleet:
+    """Starts and ends the daemons, each by its own id.
+
+    Parameters
+    ----------
+    folder : Path
+        Where settings and logs are written.
+    ports : mapping of str to int
+        Ports, the same on all instances.
+    store : LoopbackStore
+        The platform's store.
+    seeds : list of str
+        Instances that the processes find the others by.
+    log : PromiseLog
+        Where breaches go.
+    """
+
+    folder: Path
+    ports: Mapping[str, int]
+    store: LoopbackStore
+    seeds: list[str]
+    log: PromiseLog
+    daemons: dict[str, DaemonProcess] = field(default_factory=dict)
+
+    async def add(self, nursery: Nursery, host: str, service: str = "") -> None:
+        """Add an instance and start its daemon."""
+        store_host, _, store_port = self.store.address.rpartition(":")
+        link = StoreLink((store_host, int(store_port)))
+        await link.listen(nursery, "127.0.0.1")
+        self.daemons[host] = DaemonProcess(host, service, link)
+        self.write_settings(host)
+        self.start(host)
+
+    def write_settings(self, host: str) -> None:
+        """Write an instance's settings, which a running daemon reads again."""
+        daemon = self.daemons[host]
+        document = settings_document(
+            host,
+            ports=self.ports,
+            store=daemon.link.address,
+            seeds=self.seeds,
+            service=daemon.service,
+        )
+        path = self.folder / f"{host}.yaml"
+        draft = path.with_suffix(".new")
+        draft.write_text(dumps(document))
+        draft.replace(path)
+
+    def start(self, host: str) -> None:
+        """Start a daemon unless it runs."""
+        daemon = self.daemons[host]
+        if daemon.is_running:
+            return
+        daemon.is_end_expected = False
+        daemon.starts += 1
+        with (self.folder / f"{host}.log").open("ab") as log:
+            daemon.child = subprocess.Popen(
+                [sys.executable, "-m", "balsamtide.flow_daemon"],
+                env=environ
+                | {
+                    "BALSAMTIDE_SETTINGS": str(self.folder / f"{host}.yaml"),
+                    "PYTHONPATH": "src",
+                },
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
+
+    def send(self, host: str, number: signal.Signals) -> None:
+        """Send a signal to one daemon."""
+        daemon = self.daemons[host]
+        if daemon.child is not None and daemon.is_running:
+            daemon.child.send_signal(number)
+
+    def kill(self, host: str) -> None:
+        """End a daemon at once."""
+        self.daemons[host].is_end_expected = True
+        self.send(host, signal.SIGKILL)
+
+    async def stop(self, host: str) -> None:
+        """Ask a daemon to stop and check how it ends."""
+        daemon = self.daemons[host]
+        child = daemon.child
+        if child is None or not daemon.is_running or daemon.is_end_expected:
+            return
+        daemon.is_end_expected = True
+        child.send_signal(signal.SIGTERM)
+        until = current_time() + GRACE_S
+        while child.poll() is None and current_time() < until:
+            await sleep(POLL_S)
+        if child.poll() is None:
+            # A daemon that was paused meanwhile has had no time to end.
+            self.send(host, signal.SIGCONT)
+            child.kill()
+        elif child.returncode not in (0, -signal.SIGKILL):
+            detail = f"{host} ended with {child.returncode}"
+            self.log.breach(Promise.STOP, current_time(), detail)
+
+    async def watch(self) -> None:
+        """Note daemons that end without being asked to, until cancelled."""
+        while True:
+            for daemon in self.daemons.values():
+                if (
+                    daemon.child
+                    and not daemon.is_running
+                    and not daemon.is_end_expected
+                ):
+                    daemon.is_end_expected = True
+                    detail = f"{daemon.host} ended by itself: {daemon.child.returncode}"
+                    self.log.breach(Promise.STOP, current_time(), detail)
+            await sleep(POLL_S)
+
+    def close(self) -> None:
+        """End all daemons."""
+        for daemon in self.daemons.values():
+            if daemon.child is not None:
+                daemon.child.kill()
+                daemon.child.wait()
