Treat a first digest of a high age as an outage of the store

A target whose entry had lapsed was missing from the list that the balancer read, and its open flow was reset.

Ruled out: a wrong list (the store had not got the entry back yet) and a late answer of an agent (all three answered).

A first digest whose age exceeds 1.5 s now starts the grace period of lapsed entries, and a digest without a view proves nothing. The new tests failed before the change and pass after it.

--- a/src/balsamtide/fleet/merge.py
+++ b/src/balsamtide/fleet/merge.py
@@ -16,7 +16,11 @@
     TargetState,
 )
 
-__all__ = ["newer_view", "with_changes", "with_listing"]
+__all__ = ["LAPSE_GRACE_S", "newer_view", "with_changes", "with_listing"]
+
+# Time after a recovery of the store in which targets without a record are kept as
+# lapsed: 2 s in which they write their records again, and 0.5 s of propagation.
+LAPSE_GRACE_S = 2.5
 
 
 def _newer_configuration(
--- a/src/balsamtide/fleet/view_gossip.py
+++ b/src/balsamtide/fleet/view_gossip.py
@@ -11,7 +11,7 @@
 from random import Random
 from zlib import crc32
 
-from balsamtide.fleet.merge import newer_view
+from balsamtide.fleet.merge import LAPSE_GRACE_S, newer_view
 from balsamtide.fleet.view import FleetView
 from balsamtide.protocol.flow_actions import Action, PullView, SendFrame
 from balsamtide.protocol.flow_frames import MAX_CLAIMS, Digest, ReaderClaim
@@ -38,6 +38,9 @@
 CLAIM_LEASE_S = 1.5
 # A view that no reader confirmed for this long is too old to refuse flows by it.
 FRESH_S = 2.0
+# A first peer whose view was not confirmed for this long has lost the store.  Entries
+# of live targets lapse after a longer outage only.
+OUTAGE_AGE_S = 1.5
 # A peer without a digest for this long gets no more digests.
 PEER_LEASE_S = 10.0
 # After this time another peer may be asked for its view.
@@ -180,11 +183,8 @@
     def receive_digest(self, digest: Digest, source: int, now: float) -> list[Action]:
         """Process a peer's digest; return a reply, a pull or digests to send."""
         self.peers[source] = now
-        self.has_seen_peer = True
         self._record_claims(digest.claims, now)
-        if digest.settles_s > 0:
-            settles_at = max(self.view.settles_at, now + digest.settles_s)
-            self.view = replace(self.view, settles_at=settles_at)
+        self._record_settling(digest, now)
         if digest.revision > self.view.revision:
             return self._catch_up(digest, source, now)
         actions: list[Action] = []
@@ -194,6 +194,18 @@
             actions.append(SendFrame(source, self._make_digest(now, True)))
         return actions
 
+    def _record_settling(self, digest: Digest, now: float) -> None:
+        """Record until when missing targets may come back, as far as a peer knows."""
+        settles_s = digest.settles_s
+        if not self.has_seen_peer and digest.revision >= 0:
+            self.has_seen_peer = True
+            if digest.age_s > OUTAGE_AGE_S:
+                # The peer may not know yet that the store is back.
+                settles_s = max(settles_s, LAPSE_GRACE_S)
+        if settles_s > 0:
+            settles_at = max(self.view.settles_at, now + settles_s)
+            self.view = replace(self.view, settles_at=settles_at)
+
     def _is_peer_behind(self, digest: Digest, now: float) -> bool:
         """Whether a peer's view or its confirmation is older than the local one."""
         if digest.revision < self.view.revision:
--- a/src/balsamtide/flow_node/store_reader.py
+++ b/src/balsamtide/flow_node/store_reader.py
@@ -10,7 +10,7 @@
 
 from trio import current_time, sleep
 
-from balsamtide.fleet.merge import with_changes, with_listing
+from balsamtide.fleet.merge import LAPSE_GRACE_S, with_changes, with_listing
 from balsamtide.fleet.store import FleetStore, HistoryGoneError, StoreError
 from balsamtide.fleet.view import FleetView
 from balsamtide.fleet.view_gossip import ViewGossip
@@ -27,9 +27,6 @@
 # store is noticed within a second and a half.
 MIN_BACKOFF_S = 0.2
 MAX_BACKOFF_S = 1.2
-# Time after a recovery of the store in which targets without a record are kept as
-# lapsed: 2 s in which they write their records again, and 0.5 s of propagation.
-LAPSE_GRACE_S = 2.5
 
 
 class StoreReader:
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -9,7 +9,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from balsamtide.fleet.merge import newer_view, with_changes, with_listing
+from balsamtide.fleet.merge import (
+    LAPSE_GRACE_S,
+    newer_view,
+    with_changes,
+    with_listing,
+)
 from balsamtide.fleet.store import (
     ConfigurationChange,
     Listing,
@@ -397,6 +402,30 @@
     assert settles_s == 0.0 or not gossip.is_settled(NOW + settled_after_s - 0.1)
 
 
+@pytest.mark.parametrize(
+    ("ages_s", "settled_after_s"),
+    [((0.1,), 0.0), ((9.0,), LAPSE_GRACE_S), ((9.0, 0.1), LAPSE_GRACE_S)],
+    ids=["current-peer", "outage", "outage-then-current-peer"],
+)
+def test_first_digest_of_a_high_age_counts_as_an_outage(ages_s, settled_after_s):
+    """A started process waits for lapsed targets if its first peer lost the store."""
+    gossip = ViewGossip(host=1, seeds=(2,), random=Random(1), now=NOW)
+    gossip.apply_store_view(make_view(9, 1), NOW)
+    for age_s in ages_s:
+        digest = Digest(revision=9, content_tag=gossip.view.content_tag, age_s=age_s)
+        gossip.receive_digest(digest, 2, NOW)
+    assert gossip.is_settled(NOW + settled_after_s)
+    assert settled_after_s == 0.0 or not gossip.is_settled(NOW + settled_after_s - 0.1)
+
+
+def test_digest_of_a_peer_without_a_view_tells_nothing_of_outages():
+    """A peer that has read nothing either does not settle a started process."""
+    gossip = ViewGossip(host=1, seeds=(2,), random=Random(1), now=NOW)
+    gossip.apply_store_view(make_view(9, 1), NOW)
+    gossip.receive_digest(Digest(revision=-1, content_tag=0, age_s=1e6), 2, NOW)
+    assert not gossip.is_settled(NOW)
+
+
 @pytest.mark.parametrize("seed", range(3))
 def test_a_started_fleet_learns_of_the_first_change_at_once(seed):
     """A change right after the start of all processes is spread within 0.8 s."""
