Pull the changes of a view instead of the whole view

Besides, each change of one target made every process pull everything.

Each process now keeps a bounded log of the latest changes. A peer asks by datagram for what follows its revision and configuration version; most answers fit into one piece. A whole view is compressed and sent in windows of eight pieces, lost pieces are asked for again, and a peer is given up only when it sends nothing for 1 s. The checksum of the contents is the sum of the targets' tags, so that a change costs the same in any fleet; if it differs after a change, the whole view is pulled. Requests to the store time out when no bytes arrive, not when all of them take long. A process that starts stops its own read of the store once a peer has sent a view.

The TCP transfer of views is gone, so a process of an older build pulls from older peers, or reads the store itself.

--- a/bench/slope_groups/raw_packets.py
+++ b/bench/slope_groups/raw_packets.py
@@ -4,8 +4,9 @@
 from time import process_time
 from tracemalloc import get_traced_memory, start, stop
 
+from balsamtide.fleet.change_log import ChangeLog
 from balsamtide.fleet.view import FleetView
-from balsamtide.fleet.view_codec import encode_view
+from balsamtide.fleet.view_codec import encode_update
 from balsamtide.flows.flow_cache import CachedFlow, FlowCache
 from balsamtide.flows.local_flows import LocalFlow, LocalFlows
 from balsamtide.platform.packets import ACK, SYN
@@ -115,7 +116,8 @@
 def _views() -> Iterator[Figure]:
     for count in TARGET_COUNTS:
         view: FleetView = FlowWorld(WorldOptions(targets=count, balancers=1)).view
-        data = encode_view(view, age_s=0.0, now=START)
+        update = ChangeLog().update_for(view, -1, -1)
+        data = encode_update(update, now=START)
         yield Figure(
             name=f"{count:,} targets: view on the wire", figure=len(data), unit="B"
         )
--- a/src/balsamtide/fleet/merge.py
+++ b/src/balsamtide/fleet/merge.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import replace
 
+from balsamtide.fleet.change_log import RouteChanges, ViewUpdate
 from balsamtide.fleet.store import (
     ConfigurationChange,
     Listing,
@@ -16,7 +17,7 @@
     TargetState,
 )
 
-__all__ = ["LAPSE_GRACE_S", "newer_view", "with_changes", "with_listing"]
+__all__ = ["LAPSE_GRACE_S", "newer_view", "with_changes", "with_listing", "with_update"]
 
 # Time after a recovery of the store in which targets without a record are kept as
 # lapsed: 2 s in which they write their records again, and 0.5 s of propagation.
@@ -83,33 +84,30 @@
     """Return the view after applying changes that follow its revision."""
     if changes.revision < view.revision:
         return view
-    targets = dict(view.targets)
+    targets: dict[str, FlowTarget | None] = {}
     configuration = view.configuration
     for change in changes.changes:
         if isinstance(change, ConfigurationChange):
             configuration = _newer_configuration(configuration, change.configuration)
         else:
-            _apply_target(targets, change, grace_until, now)
-    return FleetView(
+            known = targets.get(change.name, view.targets.get(change.name))
+            targets[change.name] = _after_change(known, change, grace_until, now)
+    return view.changed(
         revision=changes.revision,
-        configuration=configuration,
         targets=targets,
-        settles_at=max(view.settles_at, grace_until),
+        configuration=configuration,
+        settles_at=grace_until,
     )
 
 
-def _apply_target(
-    targets: dict[str, FlowTarget], change: TargetChange, grace_until: float, now: float
-) -> None:
+def _after_change(
+    known: FlowTarget | None, change: TargetChange, grace_until: float, now: float
+) -> FlowTarget | None:
     if change.target is not None:
-        targets[change.name] = change.target
-        return
-    known = targets.pop(change.name, None)
+        return change.target
     if known is None or not change.is_removed:
-        return
-    lapsed = _lapsed(known, grace_until, now)
-    if lapsed is not None:
-        targets[change.name] = lapsed
+        return None
+    return _lapsed(known, grace_until, now)
 
 
 def newer_view(current: FleetView, received: FleetView, now: float) -> FleetView:
@@ -129,6 +127,51 @@
     )
 
 
+def with_update(view: FleetView, update: ViewUpdate, now: float) -> FleetView:
+    """Return the view after an update from a peer.
+
+    Raises
+    ------
+    ValueError
+        If the update changes a view or configuration that is not held here.
+    """
+    if update.revision < view.revision:
+        return view
+    configuration = update.configuration
+    if isinstance(configuration, RouteChanges):
+        configuration = _with_route_changes(view.configuration, configuration)
+    if update.is_whole:
+        whole = FleetView(
+            revision=update.revision,
+            configuration=configuration or view.configuration,
+            targets={n: t for n, t in update.targets.items() if t is not None},
+            settles_at=update.settles_at,
+        )
+        return newer_view(view, whole, now)
+    if view.revision < update.base:
+        raise ValueError(
+            f"changes of revision {update.base} do not apply to {view.revision}"
+        )
+    targets: dict[str, FlowTarget | None] = {
+        name: None for name, t in view.targets.items() if now >= t.forget_at
+    }
+    targets.update(update.targets)
+    return view.changed(
+        revision=update.revision,
+        targets=targets,
+        configuration=_newer_configuration(view.configuration, configuration),
+        settles_at=update.settles_at,
+    )
+
+
+def _with_route_changes(
+    configuration: FlowConfiguration, changes: RouteChanges
+) -> FlowConfiguration:
+    if changes.version <= configuration.version:
+        return configuration
+    return changes.apply(configuration)
+
+
 def _without_forgotten(
     targets: Mapping[str, FlowTarget], now: float
 ) -> dict[str, FlowTarget]:
--- a/src/balsamtide/fleet/view.py
+++ b/src/balsamtide/fleet/view.py
@@ -18,6 +18,8 @@
     "TargetState",
 ]
 
+MAX_U32 = 0xFFFFFFFF
+
 
 class TargetState(Enum):
     """State of a target in the platform's list.
@@ -143,6 +145,50 @@
 )
 
 
+def _scramble(value: int) -> int:
+    """Return 32 bits that depend on all bits of ``value``.
+
+    Sums of plain checksums would be equal after opposite changes of two targets.
+    """
+    value = (value ^ value >> 16) * 0x85EBCA6B & MAX_U32
+    value = (value ^ value >> 13) * 0xC2B2AE35 & MAX_U32
+    return value ^ value >> 16
+
+
+def _target_tag(target: FlowTarget) -> int:
+    text = f"{target.name} {target.state.value} {target.started_ms}"
+    return _scramble(crc32(text.encode()))
+
+
+def _with_changes(
+    targets: Mapping[str, FlowTarget], changes: Mapping[str, FlowTarget | None]
+) -> dict[str, FlowTarget]:
+    after = dict(targets)
+    for name, target in changes.items():
+        if target is None:
+            after.pop(name, None)
+        else:
+            after[name] = target
+    return after
+
+
+def _regrouped(
+    group: tuple[FlowTarget, ...],
+    service: str,
+    targets: Mapping[str, FlowTarget],
+    changes: Mapping[str, FlowTarget | None],
+) -> tuple[FlowTarget, ...]:
+    """Return a service's targets after some changes, in order of their names."""
+    kept = [target for target in group if target.name not in changes]
+    changed = (targets[name] for name in changes if name in targets)
+    kept += [target for target in changed if target.service == service]
+    return tuple(sorted(kept, key=_target_name))
+
+
+def _target_name(target: FlowTarget) -> str:
+    return target.name
+
+
 @dataclass(frozen=True, kw_only=True)
 class FleetView:
     """Contents of the platform's store as of one revision.
@@ -185,13 +231,70 @@
         return latest
 
     @cached_property
+    def targets_tag(self) -> int:
+        """Sum of the tags of all targets, which is the same in any order."""
+        return sum(map(_target_tag, self.targets.values())) & MAX_U32
+
+    @property
     def content_tag(self) -> int:
         """Checksum of the configuration version and the targets, to compare views."""
-        targets = [
-            (name, target.state.value, target.started_ms)
-            for name, target in sorted(self.targets.items())
-        ]
-        return crc32(repr((self.configuration.version, targets)).encode())
+        version_tag = _scramble(crc32(str(self.configuration.version).encode()))
+        return (self.targets_tag + version_tag) & MAX_U32
+
+    def changed(
+        self,
+        *,
+        revision: int,
+        targets: Mapping[str, FlowTarget | None] | None = None,
+        configuration: FlowConfiguration | None = None,
+        settles_at: float = -inf,
+    ) -> "FleetView":
+        """Return the view after some changes.
+
+        The groups and tags of this view are adjusted instead of being computed anew.
+
+        Parameters
+        ----------
+        revision : int
+            Resulting revision.
+        targets : mapping of str to FlowTarget or None
+            Changed targets by name, None for a removed one.
+        configuration : FlowConfiguration or None
+            New configuration, None if it is the same.
+        settles_at : float
+            Local time until which missing targets may come back, if later than before.
+        """
+        changes = targets or {}
+        after = FleetView(
+            revision=revision,
+            configuration=configuration or self.configuration,
+            targets=_with_changes(self.targets, changes) if changes else self.targets,
+            settles_at=max(self.settles_at, settles_at),
+        )
+        if not changes:
+            after.__dict__.update(
+                (name, value)
+                for name, value in self.__dict__.items()
+                if name in ("by_service", "by_host", "targets_tag")
+            )
+            return after
+        tag = self.targets_tag
+        services = set()
+        for name, target in changes.items():
+            for sign, one in ((-1, self.targets.get(name)), (1, target)):
+                if one is not None:
+                    tag += sign * _target_tag(one)
+                    services.add(one.service)
+        grouped = dict(self.by_service)
+        for service in services:
+            grouped[service] = _regrouped(
+                grouped.get(service, ()), service, after.targets, changes
+            )
+        after.__dict__["targets_tag"] = tag & MAX_U32
+        after.__dict__["by_service"] = {
+            s: found for s, found in grouped.items() if found
+        }
+        return after
 
     def eligible(self, service: str, now: float) -> tuple[FlowTarget, ...]:
         """Return the targets of a service that take new flows.
--- a/src/balsamtide/fleet/view_codec.py
+++ b/src/balsamtide/fleet/view_codec.py
@@ -1,4 +1,4 @@
-"""JSON codec of the view for transfers between processes.
+"""Compressed JSON codec of updates for transfers between processes.
 
 Deadlines are encoded as remaining times, since local clocks are not comparable.
 """
@@ -6,53 +6,77 @@
 from json import dumps, loads
 from math import inf
 from typing import Any
+from zlib import compress, decompressobj
+from zlib import error as ZlibError
 
+from balsamtide.fleet.change_log import RouteChanges, ViewUpdate
 from balsamtide.fleet.view import (
-    FleetView,
     FlowConfiguration,
     FlowRoute,
     FlowTarget,
     TargetState,
 )
 
-__all__ = ["ViewDecodeError", "decode_view", "encode_view"]
+__all__ = ["ViewDecodeError", "decode_update", "encode_update"]
+
+# The store holds at most 1 MB of configuration; the rest is for 65,000 targets.
+MAX_UPDATE_BYTES = 16_000_000
 
 
 class ViewDecodeError(ValueError):
-    """Raised for bytes that are not a valid view."""
-
-
-def encode_view(view: FleetView, *, age_s: float, now: float) -> bytes:
-    """Encode a view and the seconds since it was confirmed."""
-    configuration = view.configuration
-    return dumps(
-        {
-            "revision": view.revision,
-            # The age is infinite before the first confirmation; JSON has no infinity.
-            "age_s": min(age_s, 1e9),
-            "settles_s": max(0.0, view.settles_at - now),
-            "version": configuration.version,
-            "idle_timeout_s": configuration.idle_timeout_s,
-            "services": sorted(configuration.services),
-            "routes": [
-                [
-                    *address,
-                    route.name,
-                    route.shares,
-                    route.timeout_s,
-                    route.objective_s,
-                    route.priority,
-                ]
-                for address, route in configuration.routes.items()
-            ],
-            "targets": [_target_row(target, now) for target in view.targets.values()],
-        },
-        separators=(",", ":"),
-    ).encode()
+    """Raised for bytes that are not a valid update."""
+
+
+def encode_update(update: ViewUpdate, *, now: float) -> bytes:
+    """Encode an update as of ``now``."""
+    document = {
+        "base": update.base,
+        "revision": update.revision,
+        "tag": update.content_tag,
+        "settles_s": max(0.0, update.settles_at - now),
+        "configuration": _configuration_fields(update.configuration),
+        "targets": [_target_row(t, now) for t in update.targets.values() if t],
+        "removed": [name for name, target in update.targets.items() if target is None],
+    }
+    return compress(dumps(document, separators=(",", ":")).encode())
+
+
+def _configuration_fields(
+    configuration: FlowConfiguration | RouteChanges | None,
+) -> dict[str, Any] | None:
+    if configuration is None:
+        return None
+    fields = {
+        "version": configuration.version,
+        "idle_timeout_s": configuration.idle_timeout_s,
+        "services": sorted(configuration.services),
+        "routes": [
+            _route_row(address, route)
+            for address, route in configuration.routes.items()
+            if route is not None
+        ],
+    }
+    if isinstance(configuration, RouteChanges):
+        fields["base"] = configuration.base
+        fields["removed"] = [
+            address for address, route in configuration.routes.items() if route is None
+        ]
+    return fields
+
+
+def _route_row(address: tuple[int, int], route: FlowRoute) -> list[Any]:
+    return [
+        *address,
+        route.name,
+        route.shares,
+        route.timeout_s,
+        route.objective_s,
+        route.priority,
+    ]
 
 
 def _target_row(target: FlowTarget, now: float) -> list[Any]:
-    forget_s = None if target.forget_at == inf else target.forget_at - now
+    forget_s = None if target.forget_at == inf else round(target.forget_at - now, 3)
     return [
         target.name,
         target.service,
@@ -61,42 +85,75 @@
         target.zone,
         target.capacity,
         target.state.value,
-        max(0.0, target.warm_at - now),
+        max(0.0, round(target.warm_at - now, 3)),
         target.started_ms,
         forget_s,
     ]
 
 
-def decode_view(data: bytes, *, now: float) -> tuple[FleetView, float]:
-    """Decode a view and the seconds since it was confirmed.
+def decode_update(data: bytes, *, encoded_at: float) -> ViewUpdate:
+    """Decode an update that was encoded at a local time.
 
     Raises
     ------
     ViewDecodeError
-        If the bytes are truncated or not a valid view.
+        If the bytes are truncated or not a valid update.
     """
     try:
-        document = loads(data)
-        view = FleetView(
+        document = loads(_decompress(data))
+        targets: dict[str, FlowTarget | None] = dict.fromkeys(document["removed"])
+        for row in document["targets"]:
+            target = _target(row, encoded_at)
+            targets[target.name] = target
+        settles_s = float(document["settles_s"])
+        return ViewUpdate(
+            base=int(document["base"]),
             revision=int(document["revision"]),
-            settles_at=now + float(document["settles_s"]),
-            configuration=_configuration(document),
-            targets={
-                target.name: target
-                for target in (_target(row, now) for row in document["targets"])
-            },
+            content_tag=int(document["tag"]),
+            settles_at=encoded_at + settles_s if settles_s else -inf,
+            configuration=_configuration(document["configuration"]),
+            targets=targets,
         )
-        return view, float(document["age_s"])
-    except (ValueError, TypeError, KeyError, IndexError) as error:
+    except (ValueError, TypeError, KeyError, IndexError, ZlibError) as error:
         raise ViewDecodeError(f"{type(error).__name__}: {error}") from error
 
 
-def _configuration(document: dict[str, Any]) -> FlowConfiguration:
-    return FlowConfiguration(
-        version=int(document["version"]),
-        routes=dict(_route(*row) for row in document["routes"]),
-        services=frozenset(document["services"]),
-        idle_timeout_s=float(document["idle_timeout_s"]),
+def _decompress(data: bytes) -> bytes:
+    decompressor = decompressobj()
+    text = decompressor.decompress(data, MAX_UPDATE_BYTES)
+    if not decompressor.eof:
+        raise ViewDecodeError(
+            f"{len(data)} bytes are truncated or exceed {MAX_UPDATE_BYTES} bytes"
+        )
+    return text
+
+
+def _configuration(
+    fields: dict[str, Any] | None,
+) -> FlowConfiguration | RouteChanges | None:
+    if fields is None:
+        return None
+    routes = dict(_route(*row) for row in fields["routes"])
+    version = int(fields["version"])
+    services = frozenset(fields["services"])
+    idle_timeout_s = float(fields["idle_timeout_s"])
+    if "base" not in fields:
+        return FlowConfiguration(
+            version=version,
+            routes=routes,
+            services=services,
+            idle_timeout_s=idle_timeout_s,
+        )
+    changes: dict[tuple[int, int], FlowRoute | None] = {
+        (host, port): None for host, port in fields["removed"]
+    }
+    changes.update(routes)
+    return RouteChanges(
+        base=int(fields["base"]),
+        version=version,
+        services=services,
+        idle_timeout_s=idle_timeout_s,
+        routes=changes,
     )
 
 
@@ -119,7 +176,7 @@
     return (host, port), route
 
 
-def _target(row: list[Any], now: float) -> FlowTarget:
+def _target(row: list[Any], encoded_at: float) -> FlowTarget:
     (
         name,
         service,
@@ -140,7 +197,7 @@
         zone=zone,
         capacity=capacity,
         state=TargetState(state),
-        warm_at=now + cold_s,
+        warm_at=encoded_at + cold_s if cold_s else 0.0,
         started_ms=started_ms,
-        forget_at=inf if forget_s is None else now + forget_s,
+        forget_at=inf if forget_s is None else encoded_at + forget_s,
     )
--- a/src/balsamtide/fleet/view_gossip.py
+++ b/src/balsamtide/fleet/view_gossip.py
@@ -1,20 +1,21 @@
 """Gossip of the view among the processes, and election of the store's readers.
 
-Every process sends digests of its view to random peers and pulls the view of a peer
-whose digest is newer.  A few processes read the store and claim so in their digests; a
-process whose view is not confirmed by a reader in time starts to read.
+Every process sends digests of its view to random peers and pulls the changes from a
+peer whose digest is newer.  A few processes read the store and claim so in their
+digests; a process whose view is not confirmed by a reader in time starts to read.
 """
 
 from collections.abc import Iterable
-from dataclasses import replace
 from math import inf
 from random import Random
 from zlib import crc32
 
 from balsamtide.fleet.merge import LAPSE_GRACE_S, newer_view
 from balsamtide.fleet.view import FleetView
-from balsamtide.protocol.flow_actions import Action, PullView, SendFrame
+from balsamtide.fleet.view_exchange import ViewExchange
+from balsamtide.protocol.flow_actions import Action, SendFrame
 from balsamtide.protocol.flow_frames import MAX_CLAIMS, Digest, ReaderClaim
+from balsamtide.protocol.view_frames import PullRequest, ViewPiece
 
 __all__ = ["ViewGossip"]
 
@@ -43,8 +44,8 @@
 OUTAGE_AGE_S = 1.5
 # A peer without a digest for this long gets no more digests.
 PEER_LEASE_S = 10.0
-# After this time another peer may be asked for its view.
-PULL_TIMEOUT_S = 0.5
+# Smaller differences of the settling time come from transit times.
+SETTLING_STEP_S = 0.05
 
 
 class ViewGossip:
@@ -77,7 +78,7 @@
         # Last successful read if this process is a reader, otherwise -inf.
         self.local_claim_at = -inf
         self.digest_at = now
-        self.pull_until = -inf
+        self.exchange = ViewExchange()
 
     def set_seeds(self, seeds: Iterable[int]) -> None:
         """Set the seed instances; this instance is left out."""
@@ -142,7 +143,7 @@
     def apply_store_view(self, view: FleetView, now: float) -> list[Action]:
         """Apply a view read from the store; return the digests to send."""
         is_first = self.view.revision < 0
-        self.view = newer_view(self.view, view, now)
+        self._set_view(newer_view(self.view, view, now))
         self.confirmed_at = now
         # All processes read once at their start; only a later read makes a reader.
         if not is_first:
@@ -153,32 +154,37 @@
         """Stop claiming to be a reader: a preferred one exists, or a read failed."""
         self.local_claim_at = -inf
 
+    def _set_view(self, view: FleetView) -> None:
+        self.exchange.log.record(self.view, view)
+        self.view = view
+
     # Gossip
 
-    def apply_peer_view(
-        self, view: FleetView, age_s: float, now: float
+    def receive(
+        self, frame: Digest | PullRequest | ViewPiece, source: int, now: float
     ) -> list[Action]:
-        """Apply a view pulled from a peer; return the digests to send.
-
-        Parameters
-        ----------
-        view : FleetView
-            View of the peer.
-        age_s : float
-            Seconds since a reader confirmed it.
-        now : float
-            Local time in seconds.
-        """
-        self.pull_until = -inf
-        if view.revision < self.view.revision:
-            return []
-        self.view = newer_view(self.view, view, now)
-        self.confirmed_at = max(self.confirmed_at, now - age_s)
-        return self._send_digests(UPDATE_FANOUT, now)
-
-    def record_pull_failure(self) -> None:
-        """Record that a pull ended without a view, to allow the next one."""
-        self.pull_until = -inf
+        """Process a frame of a peer and return the actions to perform."""
+        match frame:
+            case Digest():
+                return self.receive_digest(frame, source, now)
+            case PullRequest():
+                return self.exchange.answer(
+                    frame, source, self.view, self.confirmed_at, now
+                )
+            case ViewPiece():
+                return self._receive_piece(frame, source, now)
+
+    def _receive_piece(self, piece: ViewPiece, source: int, now: float) -> list[Action]:
+        download, actions = self.exchange.receive(piece, source, now)
+        if download is None:
+            return actions
+        before = self.view
+        view, actions = self.exchange.apply(download, before, now)
+        if view is before:
+            return actions
+        self._set_view(view)
+        self.confirmed_at = max(self.confirmed_at, download.confirmed_at)
+        return actions + self._send_digests(UPDATE_FANOUT, now)
 
     def receive_digest(self, digest: Digest, source: int, now: float) -> list[Action]:
         """Process a peer's digest; return a reply, a pull or digests to send."""
@@ -202,9 +208,11 @@
             if digest.age_s > OUTAGE_AGE_S:
                 # The peer may not know yet that the store is back.
                 settles_s = max(settles_s, LAPSE_GRACE_S)
-        if settles_s > 0:
-            settles_at = max(self.view.settles_at, now + settles_s)
-            self.view = replace(self.view, settles_at=settles_at)
+        settles_at = now + settles_s
+        if settles_s > 0 and settles_at > self.view.settles_at + SETTLING_STEP_S:
+            self.view = self.view.changed(
+                revision=self.view.revision, settles_at=settles_at
+            )
 
     def _is_peer_behind(self, digest: Digest, now: float) -> bool:
         """Whether a peer's view or its confirmation is older than the local one."""
@@ -215,12 +223,9 @@
     def _catch_up(self, digest: Digest, source: int, now: float) -> list[Action]:
         if digest.content_tag == self.view.content_tag:
             # The revision rose without a change of the content, so no pull is needed.
-            self.view = replace(self.view, revision=digest.revision)
+            self._set_view(self.view.changed(revision=digest.revision))
             return self._record_confirmation(digest, now)
-        if now < self.pull_until:
-            return []
-        self.pull_until = now + PULL_TIMEOUT_S
-        return [PullView(source)]
+        return self.exchange.pull(source, digest.revision, self.view, now)
 
     def _record_confirmation(self, digest: Digest, now: float) -> list[Action]:
         """Record a confirmation of this view; spread it if it is clearly newer."""
@@ -238,13 +243,19 @@
                     self.readers.get(claim.host, -inf), claim_at
                 )
 
+    @property
+    def deadline(self) -> float:
+        """Time of the next call of `tick`."""
+        return min(self.digest_at, self.exchange.deadline)
+
     def tick(self, now: float) -> list[Action]:
-        """Return the periodic digest if it is due."""
+        """Return the periodic digest and repeated requests, if they are due."""
+        actions = self.exchange.tick(now)
         if now < self.digest_at:
-            return []
+            return actions
         self.digest_at = now + DIGEST_PERIOD_S * self.random.uniform(0.8, 1.2)
         self._expire(now)
-        return self._send_digests(1, now)
+        return actions + self._send_digests(1, now)
 
     def _expire(self, now: float) -> None:
         self.peers = {h: t for h, t in self.peers.items() if now < t + PEER_LEASE_S}
--- a/src/balsamtide/flow_node/http_client.py
+++ b/src/balsamtide/flow_node/http_client.py
@@ -4,10 +4,12 @@
 
 from trio import (
     BrokenResourceError,
+    CancelScope,
     ClosedResourceError,
     SocketStream,
     TooSlowError,
     aclose_forcefully,
+    current_time,
     fail_after,
 )
 from trio.socket import SOCK_STREAM, socket
@@ -28,7 +30,8 @@
     address : tuple of (str, int)
         Address of the server.
     timeout_s : float
-        Timeout of a request, in addition to the time that the server may hold it.
+        Longest time without a byte of the response, in addition to the time that the
+        server may hold the request.  A slow link may take longer for all of it.
     """
 
     def __init__(self, address: tuple[str, int], *, timeout_s: float) -> None:
@@ -50,14 +53,14 @@
         """
         keep_open = False
         try:
-            with fail_after(self.timeout_s + wait_s):
-                response = await self._call(path)
+            with fail_after(self.timeout_s + wait_s) as scope:
+                response = await self._call(path, scope)
             keep_open = self.connection.is_reusable
             return response
         except TooSlowError as error:
             raise StoreError(
                 f"no response from {self.connection.host} "
-                f"within {self.timeout_s + wait_s:g} s"
+                f"for {self.timeout_s + wait_s:g} s"
             ) from error
         except (OSError, BrokenResourceError, ClosedResourceError) as error:
             raise StoreError(f"{type(error).__name__}: {error}") from error
@@ -71,16 +74,16 @@
             stream, self.stream = self.stream, None
             await aclose_forcefully(stream)
 
-    async def _call(self, path: str) -> HttpResponse:
+    async def _call(self, path: str, scope: CancelScope) -> HttpResponse:
         if self.stream is None:
             self.stream = await self._connect()
             self.connection = self._new_connection()
         await self.stream.send_all(self.connection.request(path))
         response = None
         while response is None:
-            response = self.connection.receive(
-                await self.stream.receive_some(READ_BYTES)
-            )
+            data = await self.stream.receive_some(READ_BYTES)
+            response = self.connection.receive(data)
+            scope.deadline = max(scope.deadline, current_time() + self.timeout_s)
         return response
 
     async def _connect(self) -> SocketStream:
--- a/src/balsamtide/flow_node/node.py
+++ b/src/balsamtide/flow_node/node.py
@@ -9,7 +9,6 @@
 from trio import (
     Event,
     Nursery,
-    SocketStream,
     current_time,
     move_on_at,
     open_nursery,
@@ -20,23 +19,18 @@
 from trio.abc import Clock
 
 from balsamtide.fleet.store import FleetStore
-from balsamtide.fleet.view_codec import ViewDecodeError, decode_view, encode_view
 from balsamtide.flow_node.events import (
     NODE_STOPPED,
     NODE_STOPPING,
-    PULL_FAILED,
     SETTINGS_RELOADED,
     SETTINGS_UNUSABLE,
 )
 from balsamtide.flow_node.http_server import HttpServer, ServerResponse
-from balsamtide.flow_node.metrics import VIEW_PULLS
 from balsamtide.flow_node.runtime import BatchHandler, FlowRuntime
 from balsamtide.flow_node.settings import FlowSettings, FlowSettingsError
 from balsamtide.flow_node.settings_source import SettingsSource
 from balsamtide.flow_node.store_reader import StoreReader
-from balsamtide.flow_node.view_transfer import ViewTransferError, fetch_view, send_view
 from balsamtide.telemetry.line_sink import LineSink
-from balsamtide.transport.addresses import format_ipv4
 from balsamtide.transport.receiving import receive_batch
 from balsamtide.transport.udp_socket import UdpSocket
 
@@ -130,7 +124,6 @@
     async def run(self) -> None:
         """Run until a planned stop has completed."""
         async with open_nursery() as nursery:
-            self.runtime.start_pull = lambda host: nursery.start_soon(self._pull, host)
             self._start_tasks(nursery)
             await self.stopping.wait()
             stop_started_at = current_time()
@@ -147,7 +140,6 @@
             nursery.start_soon(self._receive, socket, handler)
         nursery.start_soon(self._run_timers)
         nursery.start_soon(self._serve_readiness)
-        nursery.start_soon(self._serve_views)
         if self.runtime.settings.metrics_port:
             nursery.start_soon(self._serve_metrics)
         nursery.start_soon(self.reader.run)
@@ -161,7 +153,7 @@
         while True:
             batch = await receive_batch(socket)
             handler(batch, current_time())
-            if self.runtime.processor.deadline < self.timer_at:
+            if self.runtime.next_deadline() < self.timer_at:
                 self.timer_reset.set()
 
     async def _run_timers(self) -> None:
@@ -217,32 +209,6 @@
         while current_time() < latest and runtime.has_work(current_time()):
             await sleep(STOP_CHECK_PERIOD_S)
 
-    # Other processes
-
-    async def _serve_views(self) -> None:
-        host, port = self.runtime.settings.inner
-        await serve_tcp(self._send_view, port, host=host)
-
-    async def _send_view(self, stream: SocketStream) -> None:
-        now = current_time()
-        view = self.gossip.view
-        await send_view(stream, encode_view(view, age_s=self.gossip.age(now), now=now))
-
-    async def _pull(self, host: int) -> None:
-        peer = format_ipv4(host)
-        try:
-            data = await fetch_view(peer, self.runtime.settings.inner[1])
-            view, age_s = decode_view(data, now=current_time())
-        except (ViewTransferError, ViewDecodeError) as error:
-            self.gossip.record_pull_failure()
-            self.sink.count(VIEW_PULLS, outcome="failed")
-            self.sink.event(PULL_FAILED, peer=peer, reason=str(error))
-            return
-        self.sink.count(VIEW_PULLS, outcome="taken")
-        before = self.gossip.view
-        self.runtime.execute(self.gossip.apply_peer_view(view, age_s, current_time()))
-        self.runtime.process_view_change(before, peer)
-
     # Readiness
 
     async def _serve_readiness(self) -> None:
--- a/src/balsamtide/flow_node/runtime.py
+++ b/src/balsamtide/flow_node/runtime.py
@@ -11,15 +11,15 @@
 
 from balsamtide.fleet.view import FleetView
 from balsamtide.fleet.view_gossip import ViewGossip
-from balsamtide.flow_node.events import VIEW_CHANGED
-from balsamtide.flow_node.metrics import VIEW_AGE
+from balsamtide.flow_node.events import PULL_FAILED, VIEW_CHANGED
+from balsamtide.flow_node.metrics import VIEW_AGE, VIEW_PULLS
 from balsamtide.flow_node.settings import FlowSettings
 from balsamtide.flows.metrics import PACKETS_REJECTED
 from balsamtide.flows.processor import FlowProcessor
 from balsamtide.protocol.errors import DecodeError
 from balsamtide.protocol.flow_actions import (
     Action,
-    PullView,
+    PullEnded,
     SendFrame,
     ToClient,
     ToTarget,
@@ -29,10 +29,9 @@
 from balsamtide.transport.addresses import format_ipv4, parse_ipv4
 from balsamtide.transport.udp_socket import Received, UdpSocket
 
-__all__ = ["BatchHandler", "FlowRuntime", "PullStarter"]
+__all__ = ["BatchHandler", "FlowRuntime"]
 
 BatchHandler = Callable[[list[Received], float], None]
-PullStarter = Callable[[int], None]
 
 
 class FlowRuntime(ABC):
@@ -57,7 +56,6 @@
         self.gossip = gossip
         self.sink = sink
         self.inner = UdpSocket(*settings.inner)
-        self.start_pull: PullStarter = self._discard_pull
         self.is_stopping = False
         self.has_view = False
         # Start of the store's outage if the startup loop could not read it, else
@@ -103,8 +101,8 @@
             match action:
                 case SendFrame():
                     self._send_frame(action)
-                case PullView():
-                    self.start_pull(action.host)
+                case PullEnded():
+                    self._report_pull(action)
                 case _:
                     self.send_packet(action)
 
@@ -112,12 +110,12 @@
         address = (format_ipv4(action.host), self.settings.inner[1])
         self.inner.send(action.frame.encode(), address)
 
-    def _discard_pull(self, host: int) -> None:
-        """Ignore a pull while no tasks run; a peer's next digest triggers it again.
-
-        Peers send digests, short summaries of their views, at regular intervals.
-        """
-        self.gossip.record_pull_failure()
+    def _report_pull(self, action: PullEnded) -> None:
+        outcome = "failed" if action.problem else "taken"
+        self.sink.count(VIEW_PULLS, outcome=outcome)
+        if action.problem:
+            peer = format_ipv4(action.host)
+            self.sink.event(PULL_FAILED, peer=peer, reason=action.problem)
 
     # Frames
 
@@ -130,7 +128,10 @@
                 self.sink.count(PACKETS_REJECTED, kind=error.fault.value)
                 continue
             source = parse_ipv4(host)
+            before = self.gossip.view
             self.execute(self.processor.receive_frame(frame, source, now))
+            if self.gossip.view is not before:
+                self.process_view_change(before, host)
 
     # Timers
 
@@ -139,7 +140,7 @@
 
         The processor's `tick` also sends the digests of the gossip.
         """
-        return min(self.processor.deadline, self.gossip.digest_at)
+        return min(self.processor.deadline, self.gossip.deadline)
 
     def tick(self, now: float) -> None:
         """Run expired timers."""
--- a/src/balsamtide/flow_node/startup_loop.py
+++ b/src/balsamtide/flow_node/startup_loop.py
@@ -55,7 +55,7 @@
     store : FleetStore
         Store that reads through ``client``.
     timeout_s : float
-        Timeout of the read, seconds.
+        Longest time without progress of the read, seconds.
     """
 
     def __init__(
@@ -69,6 +69,7 @@
         self.runtime = runtime
         self.client = client
         self.read_coroutine: Coroutine[Any, None, Listing] = store.read_all()
+        self.timeout_s = timeout_s
         self.read_deadline = monotonic() + timeout_s
         # What the suspended read waits for, None once it has ended.
         self.read_wait: SocketWait | None = None
@@ -84,7 +85,10 @@
         self._resume_read()
         while self.read_wait is not None:
             self._poll(MAX_POLL_S)
-            if monotonic() > self.read_deadline:
+            if self.read_wait is not None and self.runtime.has_view:
+                # A peer was faster.
+                self._end_read()
+            elif self.read_wait is not None and monotonic() > self.read_deadline:
                 self._finish_read(
                     StoreError(
                         f"no response from {self.client.connection.host} in time"
@@ -127,6 +131,7 @@
     def _resume_read(self) -> None:
         """Resume the read until it waits for its socket again."""
         self._clear_read_wait()
+        self.read_deadline = monotonic() + self.timeout_s
         try:
             self.read_wait = self.read_coroutine.send(None)
         except StopIteration as end:
@@ -141,10 +146,13 @@
             self.poller.unregister(self.read_wait.descriptor)
             self.read_wait = None
 
-    def _finish_read(self, result: Listing | StoreError) -> None:
+    def _end_read(self) -> None:
         self._clear_read_wait()
         self.read_coroutine.close()
         self.client.close()
+
+    def _finish_read(self, result: Listing | StoreError) -> None:
+        self._end_read()
         if isinstance(result, StoreError):
             self.runtime.outage_started_at = monotonic()
             self.runtime.sink.event(STORE_LOST, reason=str(result))
--- a/src/balsamtide/flows/flow_agent.py
+++ b/src/balsamtide/flows/flow_agent.py
@@ -41,6 +41,7 @@
     Ownership,
     Taken,
 )
+from balsamtide.protocol.view_frames import PullRequest, ViewPiece
 
 __all__ = ["FlowAgent"]
 
@@ -69,8 +70,8 @@
                 return self._handle_locate(frame, source, now)
             case Leaving():
                 return self.handle_leaving(frame, source, now)
-            case Digest():
-                return self.gossip.receive_digest(frame, source, now)
+            case Digest() | PullRequest() | ViewPiece():
+                return self.gossip.receive(frame, source, now)
         self.sink.count(PACKETS_REJECTED, kind="frame")
         return []
 
--- a/src/balsamtide/flows/flow_balancer.py
+++ b/src/balsamtide/flows/flow_balancer.py
@@ -32,6 +32,7 @@
     Taken,
     service_tag,
 )
+from balsamtide.protocol.view_frames import PullRequest, ViewPiece
 from balsamtide.telemetry.sink import Sink
 from balsamtide.transport.addresses import format_ipv4
 
@@ -247,8 +248,8 @@
                 return self._handle_refused(frame, source)
             case Leaving():
                 return self.handle_leaving(frame, source, now)
-            case Digest():
-                return self.gossip.receive_digest(frame, source, now)
+            case Digest() | PullRequest() | ViewPiece():
+                return self.gossip.receive(frame, source, now)
         self.sink.count(PACKETS_REJECTED, kind="frame")
         return []
 
--- a/src/balsamtide/protocol/flow_actions.py
+++ b/src/balsamtide/protocol/flow_actions.py
@@ -4,7 +4,7 @@
 
 from balsamtide.protocol.flow_frames import Frame
 
-__all__ = ["Action", "PullView", "SendFrame", "ToClient", "ToTarget"]
+__all__ = ["Action", "PullEnded", "SendFrame", "ToClient", "ToTarget"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,10 +31,19 @@
 
 
 @dataclass(frozen=True, slots=True)
-class PullView:
-    """Take the whole view from the process on another instance."""
+class PullEnded:
+    """Report the end of a transfer of the view from another instance.
+
+    Parameters
+    ----------
+    host : int
+        The instance.
+    problem : str
+        Why the transfer failed, empty if it did not.
+    """
 
     host: int
+    problem: str = ""
 
 
-Action = SendFrame | ToClient | ToTarget | PullView
+Action = SendFrame | ToClient | ToTarget | PullEnded
--- a/src/balsamtide/protocol/flow_frames.py
+++ b/src/balsamtide/protocol/flow_frames.py
@@ -11,6 +11,14 @@
 from zlib import crc32
 
 from balsamtide.protocol.errors import DecodeError, DecodeFault
+from balsamtide.protocol.view_frames import (
+    PULL_REQUEST_KIND,
+    VIEW_PIECE_KIND,
+    PullRequest,
+    ViewPiece,
+    decode_pull_request,
+    decode_view_piece,
+)
 
 __all__ = [
     "Carry",
@@ -48,6 +56,8 @@
     REFUSED = 0x16
     LEAVING = 0x17
     DIGEST = 0x18
+    PULL_REQUEST = PULL_REQUEST_KIND
+    VIEW_PIECE = VIEW_PIECE_KIND
 
 
 class Ownership(IntEnum):
@@ -382,7 +392,18 @@
     )
 
 
-Frame = Carry | Taken | Locate | Located | Disowned | Refused | Leaving | Digest
+Frame = (
+    Carry
+    | Taken
+    | Locate
+    | Located
+    | Disowned
+    | Refused
+    | Leaving
+    | Digest
+    | PullRequest
+    | ViewPiece
+)
 
 DECODERS = {
     FrameKind.CARRY: _decode_carry,
@@ -393,6 +414,8 @@
     FrameKind.REFUSED: _decode_refused,
     FrameKind.LEAVING: _decode_leaving,
     FrameKind.DIGEST: _decode_digest,
+    FrameKind.PULL_REQUEST: decode_pull_request,
+    FrameKind.VIEW_PIECE: decode_view_piece,
 }
 
 
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -28,10 +28,9 @@
     FlowTarget,
     TargetState,
 )
-from balsamtide.fleet.view_codec import ViewDecodeError, decode_view, encode_view
 from balsamtide.fleet.view_gossip import FIRST_TAKEOVER_S, TAKEOVER_S, ViewGossip
 from balsamtide.protocol.errors import DecodeError
-from balsamtide.protocol.flow_actions import PullView, SendFrame
+from balsamtide.protocol.flow_actions import SendFrame
 from balsamtide.protocol.flow_frames import (
     Carry,
     Digest,
@@ -46,6 +45,7 @@
     Taken,
     decode_frame,
 )
+from balsamtide.protocol.view_frames import PullRequest, ViewPiece
 
 KEY = b"123456789012"
 FRAMES = [
@@ -68,6 +68,9 @@
     Disowned(DisownReason.OTHER_SERVICE, b"packet"),
     Refused(KEY),
     Leaving(1.5),
+    PullRequest(revision=7, version=3),
+    PullRequest(revision=-1, version=-1, transfer=9, wanted=(0, 300)),
+    ViewPiece(transfer=9, elapsed_s=0.5, age_s=1.25, index=0, count=2, data=b"ab"),
     Digest(revision=5, content_tag=6, age_s=0.5),
     Digest(
         revision=-1,
@@ -149,30 +152,6 @@
     assert decode_frame(digest.encode()).age_s > 1e6
 
 
-def test_views_round_trip():
-    """Views are equal after a transfer; deadlines keep their remaining time."""
-    view = make_view(
-        4,
-        2,
-        make_target("a", warm_at=NOW + 3),
-        make_target("b", state=TargetState.LAPSED, forget_at=NOW + 2, host=2),
-    )
-    data = encode_view(view, age_s=0.5, now=NOW)
-    received, age_s = decode_view(data, now=500.0)
-    assert age_s == 0.5
-    assert received.configuration == view.configuration
-    assert received.targets["a"].warm_at == 503.0
-    assert received.targets["b"].forget_at == 502.0
-    assert received.content_tag == view.content_tag
-
-
-@pytest.mark.parametrize("data", [b"", b"{}", b"[]", b'{"revision":1}'])
-def test_invalid_views_are_rejected(data):
-    """Truncated or invalid views raise `ViewDecodeError`."""
-    with pytest.raises(ViewDecodeError):
-        decode_view(data, now=0.0)
-
-
 READY = make_target("a")
 DRAINING = make_target("a", state=TargetState.DRAINING)
 LAPSED = make_target("a", state=TargetState.LAPSED, forget_at=NOW + 1)
@@ -314,19 +293,13 @@
             if isinstance(action, SendFrame):
                 due = self.now + self.random.uniform(0.0, 0.005)
                 self.frames.append((due, host, action.host, action.frame))
-            elif isinstance(action, PullView) and action.host not in self.down:
-                peer = self.members[action.host]
-                member = self.members[host]
-                member.apply_peer_view(peer.view, peer.age(self.now), self.now)
 
     def _deliver(self) -> None:
         due = [frame for frame in self.frames if frame[0] <= self.now]
         self.frames = [frame for frame in self.frames if frame[0] > self.now]
         for _, source, host, frame in due:
             if host not in self.down:
-                self._act(
-                    host, self.members[host].receive_digest(frame, source, self.now)
-                )
+                self._act(host, self.members[host].receive(frame, source, self.now))
 
     def versions(self) -> set[int]:
         """Return the configuration versions of the live processes."""
--- a/tests/test_flow_node.py
+++ b/tests/test_flow_node.py
@@ -11,13 +11,15 @@
 
 import pytest
 from httpx import ConnectError, get
-from trio import open_nursery, run
+from trio import SocketStream, open_nursery, run, serve_tcp
+from trio import sleep as trio_sleep
 from trio.testing import memory_stream_pair
 
 from balsamtide.fleet.store import Listing, StoreError
 from balsamtide.fleet.view import FleetView
 from balsamtide.flow_node.balancer_runtime import BalancerRuntime
-from balsamtide.flow_node.http import HttpConnection
+from balsamtide.flow_node.http import HttpConnection, HttpResponse
+from balsamtide.flow_node.http_client import HttpClient
 from balsamtide.flow_node.http_server import HttpServer, ServerResponse
 from balsamtide.flow_node.settings_source import SettingsSource
 from balsamtide.flow_node.startup_client import StartupClient
@@ -427,3 +429,39 @@
     assert done.returncode == 2
     # One line for each problem; the file has 15, as nearly all settings are missing.
     assert done.stderr.count("settings: ") > 5
+
+
+@pytest.mark.parametrize(
+    ("gap_s", "is_complete"), [(0.1, True), (1.5, False)], ids=["slow-link", "silent"]
+)
+def test_store_responses_may_pass_a_slow_link(gap_s, is_complete):
+    """A response may take longer than the timeout as long as bytes arrive."""
+    body = b"x" * 8
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n"
+
+    async def serve(stream: SocketStream) -> None:
+        await stream.receive_some()
+        await stream.send_all(head)
+        for index in range(len(body)):
+            await trio_sleep(gap_s)
+            await stream.send_all(body[index : index + 1])
+
+    async def fetch() -> HttpResponse:
+        async with open_nursery() as nursery:
+            listeners = await nursery.start(serve_tcp, serve, 0)
+            address = listeners[0].socket.getsockname()[:2]
+            client = HttpClient(("127.0.0.1", address[1]), timeout_s=0.5)
+            try:
+                return await client.get("/")
+            finally:
+                await client.close()
+                nursery.cancel_scope.cancel()
+
+    if is_complete:
+        assert run(fetch) == HttpResponse(200, body)
+    else:
+        with pytest.raises(ExceptionGroup) as caught:
+            run(fetch)
+        problems = [str(error) for error in caught.value.exceptions]
+        assert len(problems) == 1
+        assert problems[0].endswith("for 0.5 s")
