Ask a flow's home targets before all agents of its service

A flow now has six home targets, successors of six probes on a ring of the service's targets. New flows are placed there, agents forward them there, and a search asks them first, then the service, then the fleet; uncertain targets return the packet before the next stage begins. In services of up to 16 targets all are home targets, as before.

Ruled out: longer rounds (the frames are the cost, not the wait) and a lower limit of searches (it drops packets of live flows).

--- a/src/balsamtide/fleet/view.py
+++ b/src/balsamtide/fleet/view.py
@@ -2,12 +2,12 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
-from enum import Enum
 from functools import cached_property
 from math import inf
 from zlib import crc32
 
-from balsamtide.transport.addresses import format_ipv4
+from balsamtide.fleet.target import FlowTarget, TargetState
+from balsamtide.fleet.target_ring import TargetRing
 
 __all__ = [
     "NO_CONFIGURATION",
@@ -21,67 +21,6 @@
 MAX_U32 = 0xFFFFFFFF
 
 
-class TargetState(Enum):
-    """State of a target in the platform's list.
-
-    ``LAPSED`` targets disappeared from the list while the store was unavailable; they
-    count as ready until their grace period ends.
-    """
-
-    READY = "ready"
-    DRAINING = "draining"
-    LAPSED = "lapsed"
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class FlowTarget:
-    """One incarnation of a target.
-
-    Parameters
-    ----------
-    name : str
-        Key in the platform's list.
-    service : str
-        Name of its service.
-    host : int
-        IPv4 address of its instance, which the agent shares.
-    port : int
-        Port that it receives packets on.
-    zone : str
-        Availability zone.
-    capacity : int
-        Requests that it processes concurrently.
-    state : TargetState
-        State in the platform's list.
-    warm_at : float
-        Local time at which its cold start is over.
-    started_ms : int
-        Unix milliseconds of its start.
-    forget_at : float
-        Local time at which a lapsed target is removed; infinite for others.
-    """
-
-    name: str
-    service: str
-    host: int
-    port: int
-    zone: str
-    capacity: int
-    state: TargetState
-    warm_at: float = 0.0
-    started_ms: int = 0
-    forget_at: float = inf
-
-    def takes_new_flows(self, now: float) -> bool:
-        """Whether new flows may be placed here at ``now``."""
-        if self.state is TargetState.DRAINING:
-            return False
-        return now < self.forget_at
-
-    def __str__(self) -> str:
-        return f"{self.name}@{format_ipv4(self.host)}"
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class FlowRoute:
     """Route of new flows to one service address.
@@ -275,7 +214,7 @@
             after.__dict__.update(
                 (name, value)
                 for name, value in self.__dict__.items()
-                if name in ("by_service", "by_host", "targets_tag")
+                if name in ("by_service", "by_host", "rings", "targets_tag")
             )
             return after
         tag = self.targets_tag
@@ -290,22 +229,40 @@
             grouped[service] = _regrouped(
                 grouped.get(service, ()), service, after.targets, changes
             )
+        after.__dict__["rings"] = {
+            service: ring
+            for service, ring in self.rings.items()
+            if service not in services
+        }
         after.__dict__["targets_tag"] = tag & MAX_U32
         after.__dict__["by_service"] = {
             s: found for s, found in grouped.items() if found
         }
         return after
 
-    def eligible(self, service: str, now: float) -> tuple[FlowTarget, ...]:
-        """Return the targets of a service that take new flows.
+    def homes(self, service: str, key: bytes) -> tuple[FlowTarget, ...]:
+        """Return the home targets of a flow, in any state."""
+        ring = self.rings.get(service)
+        if ring is None:
+            ring = self.rings[service] = TargetRing(self.by_service.get(service, ()))
+        return ring.homes(key)
+
+    @cached_property
+    def rings(self) -> dict[str, TargetRing]:
+        """Rings of the services that were asked for."""
+        return {}
+
+    def is_eligible(self, target: FlowTarget, now: float) -> bool:
+        """Whether a target takes new flows.
 
         If an address was reused, only the most recently started target counts.
         """
-        return tuple(
-            target
-            for target in self.by_service.get(service, ())
-            if target.takes_new_flows(now) and self.by_host[target.host] is target
-        )
+        return target.takes_new_flows(now) and self.by_host[target.host] is target
+
+    def eligible(self, service: str, now: float) -> tuple[FlowTarget, ...]:
+        """Return the targets of a service that take new flows."""
+        targets = self.by_service.get(service, ())
+        return tuple(target for target in targets if self.is_eligible(target, now))
 
     def route(self, destination: tuple[int, int]) -> FlowRoute | None:
         """Return the route of a service address, if there is one."""
--- a/src/balsamtide/flows/flow_balancer.py
+++ b/src/balsamtide/flows/flow_balancer.py
@@ -171,7 +171,7 @@
     ) -> list[Action]:
         key = packet.client_key
         service = route.service_for(key)
-        candidates = self._candidates(service, tried, now)
+        candidates = self._candidates(service, key, tried, now)
         if not candidates:
             return self._defer_or_refuse(packet, now)
         target = self.placement.choose(key, candidates, now)
@@ -210,12 +210,24 @@
         return PendingFlow(packet, host, tried, started_at, now, deadline)
 
     def _candidates(
-        self, service: str, tried: Iterable[int], now: float
+        self, service: str, key: bytes, tried: Iterable[int], now: float
     ) -> list[FlowTarget]:
-        """Return targets for a new flow, suspected ones only if there is no other."""
-        targets = self.available_targets(service, now, without=tried)
-        responsive = [t for t in targets if now >= self.suspects.get(t.host, now)]
-        return responsive or targets
+        """Return targets for a new flow, suspected ones only if there is no other.
+
+        Home targets come first, since a flow is found there without a search among all.
+        """
+        excluded = set(tried)
+        homes = self.available_homes(service, key, now, without=excluded)
+        responsive = self._responsive(homes, now)
+        if responsive:
+            return responsive
+        targets = self.available_targets(service, now, without=excluded)
+        return self._responsive(targets, now) or targets
+
+    def _responsive(
+        self, targets: Iterable[FlowTarget], now: float
+    ) -> list[FlowTarget]:
+        return [t for t in targets if now >= self.suspects.get(t.host, now)]
 
     def _defer_or_refuse(self, packet: FlowPacket, now: float) -> list[Action]:
         """Defer a SYN while targets may come back, otherwise refuse it."""
@@ -298,7 +310,7 @@
             if search is None or not search.was_sent_tentatively:
                 return []
             search.tentative_hosts.discard(source)
-            return [] if search.tentative_hosts else self._finish_not_found(key, now)
+            return [] if search.tentative_hosts else self._continue_search(key, now)
         if search is not None:
             search.add_packet(packet.raw)
             return []
--- a/src/balsamtide/flows/new_flows.py
+++ b/src/balsamtide/flows/new_flows.py
@@ -116,6 +116,12 @@
         excluded = (*carry.visited, self.host)
         return [t.host for t in self.available_targets(service, now, without=excluded)]
 
+    def _nearest_peers(self, key: bytes, carry: Carry, now: float) -> list[int]:
+        """Return the flow's available home targets, or all peers if there are none."""
+        excluded = (*carry.visited, self.host)
+        homes = self.available_homes(self.service, key, now, without=excluded)
+        return [t.host for t in homes] or self._peers(self.service, carry, now)
+
     def _spill_over(self, packet: FlowPacket, carry: Carry, now: float) -> list[Action]:
         route = self.view.route(packet.destination)
         decision = self.spillover.decide(
@@ -124,7 +130,7 @@
                 demand=self._demand(now),
                 capacity=self._capacity(),
                 service_time_s=self._service_time_s(),
-                peers=self._peers(self.service, carry, now),
+                peers=self._nearest_peers(packet.client_key, carry, now),
                 hops=len(carry.visited),
                 best_host=carry.best_host,
                 best_load=carry.best_load,
--- a/src/balsamtide/flows/open_flows.py
+++ b/src/balsamtide/flows/open_flows.py
@@ -2,14 +2,13 @@
 
 from collections.abc import Iterable
 
-from balsamtide.fleet.view import FlowRoute
 from balsamtide.fleet.view_gossip import ViewGossip
 from balsamtide.flows.events import FLOW_FOUND, FLOW_LOST, FLOW_SEARCHED
 from balsamtide.flows.flow_cache import CachedFlow, FlowCache
 from balsamtide.flows.metrics import PACKETS
 from balsamtide.flows.packet import FlowPacket, PacketCodec, format_key
 from balsamtide.flows.processor import FlowProcessor
-from balsamtide.flows.search import SearchTable
+from balsamtide.flows.search import FlowSearch, SearchStage, SearchTable
 from balsamtide.protocol.flow_actions import Action, SendFrame, ToClient
 from balsamtide.protocol.flow_frames import (
     Carry,
@@ -76,24 +75,28 @@
         self, packet: FlowPacket, now: float, *, without: Iterable[int]
     ) -> list[Action]:
         key = packet.client_key
-        if not self.searches.try_acquire(now):
+        if not self.searches.may_start(now):
             self.report_dropped(key, now, "too many searches")
             return []
         search = self.searches.start(key, packet.raw, now)
         search.asked.update(without)
-        route = self.view.route(packet.destination)
-        hosts = self._service_hosts(route, key) or self._all_hosts()
+        hosts = self._stage_hosts(SearchStage.HOMES, packet) - search.asked
+        if not hosts:
+            return self._continue_search(key, now)
         return self._query_agents(key, hosts, packet.acknowledgement, now)
 
-    def _service_hosts(self, route: FlowRoute | None, key: bytes) -> set[int]:
-        if route is None:
-            return set()
-        targets = self.view.by_service.get(route.service_for(key), ())
+    def _stage_hosts(self, stage: SearchStage, packet: FlowPacket) -> set[int]:
+        """Return the agents to ask in a stage, without a route all of them."""
+        route = self.view.route(packet.destination)
+        if route is None or stage is SearchStage.FLEET:
+            return set(self.view.by_host)
+        service = route.service_for(packet.client_key)
+        if stage is SearchStage.HOMES:
+            targets = self.view.homes(service, packet.client_key)
+        else:
+            targets = self.view.by_service.get(service, ())
         return {target.host for target in targets}
 
-    def _all_hosts(self) -> set[int]:
-        return {target.host for target in self.view.targets.values()}
-
     def _query_agents(
         self, key: bytes, hosts: set[int], acknowledgement: int, now: float
     ) -> list[Action]:
@@ -109,14 +112,10 @@
             return self._end_tentative_delivery(key, now)
         packet = self.packets.decode(search.packets[0])
         search.is_incomplete = search.is_incomplete or bool(search.unanswered)
-        if not search.is_last_round:
-            search.is_last_round = True
-            rest = self._all_hosts() - search.asked
-            if rest:
-                return self._query_agents(key, rest, packet.acknowledgement, now)
         if not search.uncertain:
-            return self._finish_not_found(key, now)
-        if len(search.uncertain) == 1 and not search.is_incomplete:
+            return self._continue_search(key, now)
+        is_certain = not search.is_incomplete and self._is_everyone_asked(search)
+        if len(search.uncertain) == 1 and is_certain:
             # All other agents answered that they do not have the flow.
             return self._finish_found(key, search.uncertain[0], now)
         self.sink.event(FLOW_FOUND, flow=format_key(key), outcome="uncertain")
@@ -130,16 +129,36 @@
             for host in search.start_tentative_delivery(now)
         ]
 
+    def _is_everyone_asked(self, search: FlowSearch) -> bool:
+        return search.asked.issuperset(self.view.by_host)
+
+    def _continue_search(self, key: bytes, now: float) -> list[Action]:
+        """Ask the agents of the next stage, or end the search without a result."""
+        search = self.searches.searches[key]
+        packet = self.packets.decode(search.packets[0])
+        for stage in SearchStage:
+            if stage <= search.stage:
+                continue
+            hosts = self._stage_hosts(stage, packet) - search.asked
+            if not hosts:
+                continue
+            if not self.searches.may_continue(len(hosts), now):
+                search.is_incomplete = True
+                break
+            search.start_stage(stage)
+            return self._query_agents(key, hosts, packet.acknowledgement, now)
+        return self._finish_not_found(key, now)
+
     def _end_tentative_delivery(self, key: bytes, now: float) -> list[Action]:
-        """End a search whose packet some targets neither answered nor returned."""
+        """End a delivery whose packet some targets neither answered nor returned."""
         search = self.searches.searches[key]
-        if len(search.tentative_hosts) == 1:
+        if len(search.tentative_hosts) == 1 and self._is_everyone_asked(search):
             # All other targets returned the packet.
             return self._finish_found(
                 key, next(iter(search.tentative_hosts)), now, is_first_sent=True
             )
         search.is_incomplete = True
-        return self._finish_not_found(key, now)
+        return self._continue_search(key, now)
 
     def _finish_not_found(self, key: bytes, now: float) -> list[Action]:
         """Reset a flow that certainly no target has, otherwise drop its packet."""
--- a/src/balsamtide/flows/processor.py
+++ b/src/balsamtide/flows/processor.py
@@ -80,12 +80,24 @@
 
         Unlike `FleetView.eligible`, leave out instances that announced a stop.
         """
-        excluded = set(without)
+        targets = self.view.by_service.get(service, ())
+        return self._available(targets, now, set(without))
+
+    def available_homes(
+        self, service: str, key: bytes, now: float, *, without: Iterable[int] = ()
+    ) -> list[FlowTarget]:
+        """Return the home targets of a flow that take new flows now."""
+        return self._available(self.view.homes(service, key), now, set(without))
+
+    def _available(
+        self, targets: Iterable[FlowTarget], now: float, excluded: set[int]
+    ) -> list[FlowTarget]:
         return [
             target
-            for target in self.view.eligible(service, now)
+            for target in targets
             if target.host not in excluded
             and now >= self.no_new_flows_until.get(target.host, now)
+            and self.view.is_eligible(target, now)
         ]
 
     def announce_leaving(self, lasts_s: float, now: float) -> list[Action]:
--- a/src/balsamtide/flows/search.py
+++ b/src/balsamtide/flows/search.py
@@ -1,10 +1,11 @@
 """Search for the agent of an open flow that is not in a balancer's cache."""
 
 from dataclasses import dataclass, field
+from enum import IntEnum
 
 from balsamtide.protocol.flow_frames import Ownership
 
-__all__ = ["FlowSearch", "SearchTable"]
+__all__ = ["FlowSearch", "SearchStage", "SearchTable"]
 
 # Two round trips to the farthest zone plus the scheduling delay of an agent.  Short,
 # since a missing answer does not make an agent a suspect, and the client waits.
@@ -15,10 +16,21 @@
 MAX_HELD_PACKETS = 16
 # Bounds the memory for packets of unknown flows.
 MAX_SEARCHES = 512
-# Rate and burst of a token bucket.  A search costs a frame to and from every agent of a
-# service, which must leave a small balancer enough time for new flows.
-SEARCHES_PER_S = 60.0
+# Rate and burst of a token bucket for new searches.  Each asks a flow's home targets
+# first, which costs less than a millisecond of a small balancer's time.
+SEARCHES_PER_S = 200.0
 SEARCH_BURST = 150.0
+# The same for the frames of later stages, which ask all agents of a service.
+FRAMES_PER_S = 540.0
+FRAME_BURST = 1350.0
+
+
+class SearchStage(IntEnum):
+    """Agents that are asked, one group after the other."""
+
+    HOMES = 0
+    SERVICE = 1
+    FLEET = 2
 
 
 @dataclass(slots=True)
@@ -37,8 +49,8 @@
         Hosts whose agent can't tell because it started a short time ago.
     deadline : float
         Local time at which the current round ends.
-    is_last_round : bool
-        Whether every agent was asked.
+    stage : SearchStage
+        Agents that were asked last.
     tentative_hosts : set of int
         Uncertain hosts that got the first packet and have not returned it yet.
     was_sent_tentatively : bool
@@ -52,7 +64,7 @@
     unanswered: set[int]
     deadline: float
     uncertain: list[int] = field(default_factory=list)
-    is_last_round: bool = False
+    stage: SearchStage = SearchStage.HOMES
     tentative_hosts: set[int] = field(default_factory=set)
     was_sent_tentatively: bool = False
     is_incomplete: bool = False
@@ -75,6 +87,13 @@
         self.deadline = now + RETURN_TIMEOUT_S
         return self.uncertain
 
+    def start_stage(self, stage: SearchStage) -> None:
+        """Go on to other agents, after the uncertain ones returned the packet."""
+        self.stage = stage
+        self.uncertain = []
+        self.tentative_hosts = set()
+        self.was_sent_tentatively = False
+
     def start_round(self, hosts: set[int], now: float) -> set[int]:
         """Start a round with the hosts that were not asked yet and return them."""
         new_hosts = hosts - self.asked
@@ -84,23 +103,49 @@
         return new_hosts
 
 
+class TokenBucket:
+    """Token bucket; a cost above the burst waits for a full bucket.
+
+    Parameters
+    ----------
+    per_s, burst : float
+        Tokens earned each second, and held at most.
+    """
+
+    def __init__(self, per_s: float, burst: float) -> None:
+        self.per_s = per_s
+        self.burst = burst
+        self.tokens = burst
+        self.refilled_at = 0.0
+
+    def try_take(self, cost: int, now: float) -> bool:
+        """Take tokens if there are enough."""
+        earned = (now - self.refilled_at) * self.per_s
+        self.tokens = min(self.burst, self.tokens + earned)
+        self.refilled_at = now
+        if self.tokens < min(cost, self.burst):
+            return False
+        self.tokens -= cost
+        return True
+
+
 class SearchTable:
     """Searches of a balancer by flow key, limited by a token bucket."""
 
     def __init__(self) -> None:
         self.searches: dict[bytes, FlowSearch] = {}
-        self.tokens = SEARCH_BURST
-        self.refilled_at = 0.0
+        self.new_searches = TokenBucket(SEARCHES_PER_S, SEARCH_BURST)
+        self.later_frames = TokenBucket(FRAMES_PER_S, FRAME_BURST)
 
-    def try_acquire(self, now: float) -> bool:
+    def may_start(self, now: float) -> bool:
         """Take a token for a new search; return False if the limit is reached."""
-        earned = (now - self.refilled_at) * SEARCHES_PER_S
-        self.tokens = min(SEARCH_BURST, self.tokens + earned)
-        self.refilled_at = now
-        if self.tokens < 1.0 or len(self.searches) >= MAX_SEARCHES:
+        if len(self.searches) >= MAX_SEARCHES:
             return False
-        self.tokens -= 1.0
-        return True
+        return self.new_searches.try_take(1, now)
+
+    def may_continue(self, frames: int, now: float) -> bool:
+        """Take tokens for a later stage; return False if the limit is reached."""
+        return self.later_frames.try_take(frames, now)
 
     def get(self, key: bytes) -> FlowSearch | None:
         """Return the search for a flow, if there is one."""
