Let a started process wait for a peer's view, and announce returns on demand

The seeds and one process in twelve read the store at once; the others ask the seeds, begin with their imports, and read for themselves after 0.15 s without an answer. A peer that still keeps an agent from new flows answers its digest with MarkedLeaving, and only then the agent announces its return: after a crash or a loss of power nobody does.

--- a/src/balsamtide/fleet/view_gossip.py
+++ b/src/balsamtide/fleet/view_gossip.py
@@ -44,6 +44,14 @@
 OUTAGE_AGE_S = 1.5
 # A peer without a digest for this long gets no more digests.
 PEER_LEASE_S = 10.0
+# A started process waits this long for a peer's view before it reads the store, unless
+# it is a seed or among the first by rank.  Several round trips, and the read of another
+# process that started at the same time.
+JOIN_WAIT_S = 0.15
+# Every so many processes of a started fleet read at once.
+FIRST_READERS_ONE_IN = 12
+# Period of the digests of a process without a view.
+JOIN_DIGEST_PERIOD_S = 0.05
 # Smaller differences of the settling time come from transit times.
 SETTLING_STEP_S = 0.05
 
@@ -78,11 +86,14 @@
         # Last successful read if this process is a reader, otherwise -inf.
         self.local_claim_at = -inf
         self.digest_at = now
+        self.read_at = self._first_read_time(now)
         self.exchange = ViewExchange()
 
     def set_seeds(self, seeds: Iterable[int]) -> None:
         """Set the seed instances; this instance is left out."""
-        self.seeds = {seed for seed in seeds if seed != self.host}
+        known = set(seeds)
+        self.is_seed = self.host in known
+        self.seeds = known - {self.host}
 
     # State
 
@@ -116,10 +127,17 @@
 
     # Reading the store
 
+    def _first_read_time(self, now: float) -> float:
+        """Return when this process reads the store if no peer has sent a view."""
+        is_first = _host_rank(self.host) % FIRST_READERS_ONE_IN == 0
+        if is_first or self.is_seed or not self.seeds:
+            return now
+        return now + JOIN_WAIT_S
+
     def should_read(self, now: float) -> bool:
         """Whether this process should read the store now."""
         if self.view.revision < 0:
-            return True
+            return now >= self.read_at
         if self.local_claim_at > -inf:
             return not self._has_preferred_reader(now)
         timeout_s = TAKEOVER_S if self.has_seen_reader else FIRST_TAKEOVER_S
@@ -253,9 +271,11 @@
         actions = self.exchange.tick(now)
         if now < self.digest_at:
             return actions
-        self.digest_at = now + DIGEST_PERIOD_S * self.random.uniform(0.8, 1.2)
+        has_view = self.view.revision >= 0
+        period_s = DIGEST_PERIOD_S if has_view else JOIN_DIGEST_PERIOD_S
+        self.digest_at = now + period_s * self.random.uniform(0.8, 1.2)
         self._expire(now)
-        return actions + self._send_digests(1, now)
+        return actions + self._send_digests(1 if has_view else UPDATE_FANOUT, now)
 
     def _expire(self, now: float) -> None:
         self.peers = {h: t for h, t in self.peers.items() if now < t + PEER_LEASE_S}
--- a/src/balsamtide/flow_node/agent_runtime.py
+++ b/src/balsamtide/flow_node/agent_runtime.py
@@ -66,11 +66,8 @@
             address = (format_ipv4(action.host), self.settings.packets[1])
             self.target_socket.send(action.packet, address)
 
-    def on_view_change(self, now: float, *, is_first: bool) -> Sequence[Action]:
-        """Announce the return after the start, and handle later changes of the view."""
-        if is_first:
-            # An absence of 0 s means that this process takes new flows again.
-            return self.processor.announce_leaving(0.0, now)
+    def on_view_change(self, now: float) -> Sequence[Action]:
+        """Decide again about queued flows."""
         return self.processor.view_changed(now)
 
     def is_ready(self) -> bool:
--- a/src/balsamtide/flow_node/balancer_runtime.py
+++ b/src/balsamtide/flow_node/balancer_runtime.py
@@ -64,7 +64,7 @@
             address = (format_ipv4(action.host), self.settings.packets[1])
             self.ingress.send(action.packet, address)
 
-    def on_view_change(self, now: float, *, is_first: bool) -> Sequence[Action]:
+    def on_view_change(self, now: float) -> Sequence[Action]:
         """Handle the packets that were held until a view could place them."""
         return self.processor.process_deferred(now)
 
--- a/src/balsamtide/flow_node/runtime.py
+++ b/src/balsamtide/flow_node/runtime.py
@@ -73,8 +73,8 @@
         """Send a packet to a client or a target."""
 
     @abstractmethod
-    def on_view_change(self, now: float, *, is_first: bool) -> Sequence[Action]:
-        """Return the actions that follow from the first or a changed view."""
+    def on_view_change(self, now: float) -> Sequence[Action]:
+        """Return the actions that follow from a changed view."""
 
     @abstractmethod
     def is_ready(self) -> bool:
@@ -170,8 +170,8 @@
                 routes=len(view.configuration.routes),
             )
         if view.revision >= 0 and view.content_tag != before.content_tag:
-            is_first, self.has_view = not self.has_view, True
-            self.execute(self.on_view_change(now, is_first=is_first))
+            self.has_view = True
+            self.execute(self.on_view_change(now))
 
 
 def _changed_targets(before: FleetView, after: FleetView) -> list[str]:
--- a/src/balsamtide/flow_node/startup_loop.py
+++ b/src/balsamtide/flow_node/startup_loop.py
@@ -81,8 +81,12 @@
             self.poller.register(descriptor, POLLIN)
 
     def run(self, import_libraries: Callable[[], None]) -> None:
-        """Read the store, then import libraries; forward packets meanwhile."""
-        self._resume_read()
+        """Read the store, then import libraries; forward packets meanwhile.
+
+        A process that expects the view from a peer begins with the imports.
+        """
+        if self.runtime.gossip.should_read(monotonic()):
+            self._resume_read()
         while self.read_wait is not None:
             self._poll(MAX_POLL_S)
             if self.read_wait is not None and self.runtime.has_view:
@@ -95,6 +99,7 @@
                     )
                 )
         self._import_while_serving(import_libraries)
+        self._end_read()
         self.runtime.sink.event(NODE_LOADED)
 
     def _import_while_serving(self, import_libraries: Callable[[], None]) -> None:
--- a/src/balsamtide/flows/agent_state.py
+++ b/src/balsamtide/flows/agent_state.py
@@ -103,6 +103,7 @@
         self.next_probe_at = -inf
         self.last_packet_at = -inf
         self.is_stopping = False
+        self.next_return_at = -inf
         # Until then the target may have flows older than this process.
         self.table_complete_at = now + flow_lifetime_s
         self.next_sweep_at = now
--- a/src/balsamtide/flows/flow_agent.py
+++ b/src/balsamtide/flows/flow_agent.py
@@ -38,6 +38,7 @@
     Leaving,
     Locate,
     Located,
+    MarkedLeaving,
     Ownership,
     Taken,
 )
@@ -47,6 +48,8 @@
 
 # Period of the removal of expired flows; a small fraction of any idle timeout.
 SWEEP_PERIOD_S = 1.0
+# Processes that did not get an announced return answer the next digest.
+RETURN_PERIOD_S = 0.5
 # How long a returned packet proves that the target does not have the flow, so that
 # retransmissions of the client are not tried again.  A new flow with the same key
 # starts with a SYN.
@@ -70,8 +73,10 @@
                 return self._handle_locate(frame, source, now)
             case Leaving():
                 return self.handle_leaving(frame, source, now)
+            case MarkedLeaving():
+                return self._announce_return(now)
             case Digest() | PullRequest() | ViewPiece():
-                return self.gossip.receive(frame, source, now)
+                return self.handle_gossip(frame, source, now)
         self.sink.count(PACKETS_REJECTED, kind="frame")
         return []
 
@@ -95,6 +100,13 @@
             ownership = Ownership.MAYBE
         return [SendFrame(source, Located(locate.key, ownership))]
 
+    def _announce_return(self, now: float) -> list[Action]:
+        """Tell all processes that this one takes new flows, unless it is stopping."""
+        if self.is_stopping or now < self.next_return_at:
+            return []
+        self.next_return_at = now + RETURN_PERIOD_S
+        return self.announce_leaving(0.0, now)
+
     # Packets of open flows
 
     def _handle_packet(
--- a/src/balsamtide/flows/flow_balancer.py
+++ b/src/balsamtide/flows/flow_balancer.py
@@ -261,7 +261,7 @@
             case Leaving():
                 return self.handle_leaving(frame, source, now)
             case Digest() | PullRequest() | ViewPiece():
-                return self.gossip.receive(frame, source, now)
+                return self.handle_gossip(frame, source, now)
         self.sink.count(PACKETS_REJECTED, kind="frame")
         return []
 
--- a/src/balsamtide/flows/processor.py
+++ b/src/balsamtide/flows/processor.py
@@ -10,7 +10,8 @@
 from balsamtide.flows.metrics import FLOW_DECISIONS
 from balsamtide.flows.packet import PacketCodec, format_key
 from balsamtide.protocol.flow_actions import Action, SendFrame
-from balsamtide.protocol.flow_frames import Frame, Leaving
+from balsamtide.protocol.flow_frames import Digest, Frame, Leaving, MarkedLeaving
+from balsamtide.protocol.view_frames import PullRequest, ViewPiece
 from balsamtide.telemetry.event import Event
 from balsamtide.telemetry.sink import Sink
 from balsamtide.transport.addresses import format_ipv4
@@ -67,12 +68,24 @@
 
     def handle_leaving(self, frame: Leaving, source: int, now: float) -> list[Action]:
         """Record that another process takes no new flows, or takes them again."""
-        self.no_new_flows_until[source] = now + frame.lasts_s
+        if frame.lasts_s > 0:
+            self.no_new_flows_until[source] = now + frame.lasts_s
+        elif self.no_new_flows_until.pop(source, now) <= now:
+            return []
         self.sink.event(
             INSTANCE_LEAVING, peer=format_ipv4(source), lasts_ms=frame.lasts_s * 1000
         )
         return []
 
+    def handle_gossip(
+        self, frame: Digest | PullRequest | ViewPiece, source: int, now: float
+    ) -> list[Action]:
+        """Process a frame of the gossip; tell a peer that is marked as leaving."""
+        actions = self.gossip.receive(frame, source, now)
+        if isinstance(frame, Digest) and now < self.no_new_flows_until.get(source, now):
+            actions.append(SendFrame(source, MarkedLeaving()))
+        return actions
+
     def available_targets(
         self, service: str, now: float, *, without: Iterable[int] = ()
     ) -> list[FlowTarget]:
--- a/src/balsamtide/protocol/flow_frames.py
+++ b/src/balsamtide/protocol/flow_frames.py
@@ -29,6 +29,7 @@
     "Leaving",
     "Locate",
     "Located",
+    "MarkedLeaving",
     "Ownership",
     "ReaderClaim",
     "Refused",
@@ -58,6 +59,7 @@
     DIGEST = 0x18
     PULL_REQUEST = PULL_REQUEST_KIND
     VIEW_PIECE = VIEW_PIECE_KIND
+    MARKED_LEAVING = 0x1B
 
 
 class Ownership(IntEnum):
@@ -311,6 +313,25 @@
     return Leaving(LEAVING.unpack(data)[1] / 1000)
 
 
+@dataclass(frozen=True, slots=True)
+class MarkedLeaving:
+    """Tells the receiver that the sender places no new flows there.
+
+    A process that was restarted after a planned stop learns by it that its predecessor
+    announced the stop.
+    """
+
+    def encode(self) -> bytes:
+        """Return the frame's octets."""
+        return bytes((FrameKind.MARKED_LEAVING,))
+
+
+def _decode_marked_leaving(data: bytes) -> MarkedLeaving:
+    if len(data) != 1:
+        raise DecodeError(DecodeFault.MALFORMED, f"{len(data)} octets")
+    return MarkedLeaving()
+
+
 DIGEST = Struct(">BBqIIIB")
 CLAIM = Struct(">II")
 IS_REPLY = 1
@@ -403,6 +424,7 @@
     | Digest
     | PullRequest
     | ViewPiece
+    | MarkedLeaving
 )
 
 DECODERS = {
@@ -416,6 +438,7 @@
     FrameKind.DIGEST: _decode_digest,
     FrameKind.PULL_REQUEST: decode_pull_request,
     FrameKind.VIEW_PIECE: decode_view_piece,
+    FrameKind.MARKED_LEAVING: _decode_marked_leaving,
 }
 
 
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -1,6 +1,7 @@
 """Tests of the fleet's view: frames, merging, gossip and election of readers."""
 
 import contextlib
+from collections import Counter
 from dataclasses import replace
 from math import inf
 from random import Random
@@ -230,11 +231,17 @@
         Seed of delays, losses and choices.
     loss : float
         Fraction of frames that are lost.
+    read_s : float
+        Time that the first read of a process takes.
     """
 
-    def __init__(self, size: int, *, seed: int = 1, loss: float = 0.0) -> None:
+    def __init__(
+        self, size: int, *, seed: int = 1, loss: float = 0.0, read_s: float = 0.0
+    ) -> None:
         self.random = Random(seed)
         self.loss = loss
+        self.read_s = read_s
+        self.first_reads: dict[int, float] = {}
         self.now = NOW
         # Reads of the store, and the processes whose reads it rejects.
         self.reads = 0
@@ -253,6 +260,22 @@
         }
         self.next_read_at = {host: NOW for host in self.members}
         self.frames: list[tuple[float, int, int, object]] = []
+        # Frames that each process received.
+        self.received: Counter[int] = Counter()
+
+    def lose_power(self, starts_s: float) -> None:
+        """Start all processes anew, each within some seconds, in order of its hash."""
+        self.frames.clear()
+        self.received.clear()
+        self.reads = 0
+        for host in self.members:
+            starts_at = self.now + self.random.uniform(0.0, starts_s)
+            member = ViewGossip(
+                host=host, seeds=range(1, 4), random=self.random, now=starts_at
+            )
+            self.members[host] = member
+            self.first_reads.pop(host, None)
+            self.next_read_at[host] = starts_at
 
     def publish(self, version: int) -> None:
         """Write a configuration to the store."""
@@ -271,6 +294,9 @@
 
     def _read(self, host: int, member: ViewGossip) -> None:
         """Read like the reader's task: a watch returns after 0.7 s or on a change."""
+        if member.view.revision < 0:
+            self._read_first(host, member)
+            return
         is_newer = member.view.revision < self.store.revision
         if not member.should_read(self.now):
             member.withdraw_claim()
@@ -286,6 +312,15 @@
             return
         self._act(host, member.apply_store_view(self.store, self.now))
 
+    def _read_first(self, host: int, member: ViewGossip) -> None:
+        if self.now < self.next_read_at[host] or not member.should_read(self.now):
+            return
+        if host not in self.first_reads:
+            self.reads += 1
+            self.first_reads[host] = self.now + self.read_s
+        if host not in self.rejected and self.first_reads[host] <= self.now:
+            self._act(host, member.apply_store_view(self.store, self.now))
+
     def _act(self, host: int, actions: list) -> None:
         for action in actions:
             if self.random.random() < self.loss:
@@ -299,6 +334,7 @@
         self.frames = [frame for frame in self.frames if frame[0] > self.now]
         for _, source, host, frame in due:
             if host not in self.down:
+                self.received[host] += 1
                 self._act(host, self.members[host].receive(frame, source, self.now))
 
     def versions(self) -> set[int]:
@@ -410,6 +446,38 @@
     assert fleet.versions() == {2}
 
 
+@pytest.mark.parametrize("size", [16, 71, 195])
+@pytest.mark.parametrize("seed", range(3))
+def test_return_of_a_fleet_costs_few_reads_and_frames(size, seed):
+    """After a loss of power, a few processes read the store and the others ask them.
+
+    All processes start within 0.1 s.  When each of them read the store, pulled every
+    change as a whole and announced its return to all, the calls of the store grew with
+    the fleet, and the frames with its square.
+    """
+    fleet = Fleet(size, seed=seed, read_s=0.04)
+    fleet.lose_power(starts_s=0.1)
+    fleet.run(0.6)
+    assert fleet.versions() == {1}
+    # The three seeds, one in twelve by rank, and some margin.
+    assert len(fleet.first_reads) <= 3 + size / 8
+    frames = sum(fleet.received.values()) / size
+    assert frames <= 60
+    # Seeds are asked by everyone; the others get three times the mean at most.
+    assert max(n for host, n in fleet.received.items() if host > 3) <= 180
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_process_without_peers_reads_the_store(seed):
+    """A started process whose seeds are down reads the store itself after 0.15 s."""
+    fleet = Fleet(16, seed=seed, read_s=0.04)
+    fleet.down = set(fleet.members) - {7}
+    fleet.lose_power(starts_s=0.0)
+    fleet.run(0.25)
+    assert fleet.members[7].view.revision == 1
+    assert fleet.reads == 1
+
+
 @pytest.mark.parametrize(
     ("has_seen_reader", "takeover_s"),
     [(True, TAKEOVER_S), (False, FIRST_TAKEOVER_S)],
--- a/tests/test_flow_agent.py
+++ b/tests/test_flow_agent.py
@@ -13,8 +13,10 @@
     Carry,
     Disowned,
     DisownReason,
+    Leaving,
     Locate,
     Located,
+    MarkedLeaving,
     Ownership,
     Refused,
     Taken,
@@ -551,3 +553,35 @@
     agent.is_stopping = True
     actions = agent.tick(NOW + 0.05)
     assert frames(actions, Carry)[0].host in HOSTS[1:]
+
+
+@pytest.mark.parametrize(
+    ("is_marked", "is_stopping", "announces"),
+    [(True, False, True), (False, False, False), (True, True, False)],
+    ids=["restarted", "after-a-crash", "still-stopping"],
+)
+def test_return_is_announced_only_to_a_fleet_that_waits_for_it(
+    is_marked, is_stopping, announces
+):
+    """A peer that places no flows at an agent says so, and the agent is back at once.
+
+    After a loss of power nobody is marked, so no agent announces anything to anyone.
+    """
+    agent, peer = make_agent(), make_agent(host=HOSTS[1])
+    agent.is_stopping = is_stopping
+    if is_marked:
+        peer.receive_frame(Leaving(3.0), HOSTS[0], NOW)
+    digest = agent.gossip._make_digest(NOW, False)
+    told = frames(peer.receive_frame(digest, HOSTS[0], NOW), MarkedLeaving)
+    assert len(told) == is_marked
+    announced = []
+    for action in told * 2:
+        announced += frames(agent.receive_frame(action.frame, HOSTS[1], NOW), Leaving)
+    hosts = [action.host for action in announced]
+    assert hosts == (agent.gossip.known_hosts(NOW) if announces else [])
+    for action in announced:
+        peer.receive_frame(action.frame, HOSTS[0], NOW)
+    expected = announces or not is_marked
+    assert (HOSTS[0] in [t.host for t in peer.available_targets("orders", NOW)]) is (
+        expected
+    )
