End the wait for a view if the store is empty; list the store only if needed

The test failed before the change.

A reader that took over listed the whole store first, four calls and more, although its view had a revision to watch from; it lists only if the history is gone.

--- a/src/balsamtide/flow_node/startup_loop.py
+++ b/src/balsamtide/flow_node/startup_loop.py
@@ -71,7 +71,7 @@
         self.read_coroutine: Coroutine[Any, None, Listing] = store.read_all()
         self.timeout_s = timeout_s
         self.read_deadline = monotonic() + timeout_s
-        self.has_failed = False
+        self.is_read_over = False
         # What the suspended read waits for, None while it does not run.
         self.read_wait: SocketWait | None = None
         self.poller = poll()
@@ -87,23 +87,23 @@
         The view comes from a peer or from the store, whichever is faster.  Nothing can
         be forwarded without it, so the imports wait.
         """
-        while not self._has_view_or_failed():
+        while not self._is_wait_over():
             self._poll(MAX_POLL_S)
         self._import_while_serving(import_libraries)
         self._end_read()
         self.runtime.sink.event(NODE_LOADED)
 
-    def _has_view_or_failed(self) -> bool:
+    def _is_wait_over(self) -> bool:
         """Start the read when it is due; return whether the wait for a view is over."""
         now = monotonic()
-        if self.runtime.has_view or self.has_failed:
-            return True
-        if self.read_wait is not None and now > self.read_deadline:
-            host = self.client.connection.host
-            self._finish_read(StoreError(f"no response from {host} in time"))
-        elif self.read_wait is None and self.runtime.gossip.should_read(now):
+        if self.read_wait is not None:
+            if now > self.read_deadline:
+                host = self.client.connection.host
+                self._finish_read(StoreError(f"no response from {host} in time"))
+        elif not self.is_read_over and self.runtime.gossip.should_read(now):
             self._resume_read()
-        return self.runtime.has_view or self.has_failed
+        # The store has nothing before the first configuration.
+        return self.runtime.has_view or self.is_read_over
 
     def _import_while_serving(self, import_libraries: Callable[[], None]) -> None:
         finder = PacketServingFinder(self._serve_sockets)
@@ -156,13 +156,13 @@
 
     def _end_read(self) -> None:
         self._clear_read_wait()
+        self.is_read_over = True
         self.read_coroutine.close()
         self.client.close()
 
     def _finish_read(self, result: Listing | StoreError) -> None:
         self._end_read()
         if isinstance(result, StoreError):
-            self.has_failed = True
             self.runtime.outage_started_at = monotonic()
             self.runtime.sink.event(STORE_LOST, reason=str(result))
             return
--- a/src/balsamtide/flow_node/store_reader.py
+++ b/src/balsamtide/flow_node/store_reader.py
@@ -73,7 +73,8 @@
         # Targets without a record are kept as lapsed until this time.
         self.grace_until = -inf
         self.backoff_s = MIN_BACKOFF_S
-        self.needs_listing = True
+        # Set if the store has discarded the changes since the view's revision.
+        self.needs_listing = False
         self.is_reading = False
 
     async def run(self) -> None:
--- a/tests/test_flow_node.py
+++ b/tests/test_flow_node.py
@@ -194,8 +194,8 @@
 
 @pytest.mark.parametrize(
     ("listing", "expected_flows"),
-    [(LISTING, 1), (StoreError("down"), 0)],
-    ids=["read", "store-down"],
+    [(LISTING, 1), (StoreError("down"), 0), (Listing(3, None, ()), 0)],
+    ids=["read", "store-down", "empty-store"],
 )
 def test_startup_loop_handles_packets_during_imports(pipe, listing, expected_flows):
     """Packets that arrive during imports are handled if the store could be read."""
