Keep a second copy of an answer from the next request on its connection

Cause: octets behind an answer stayed in the HTTP parser of a keep-alive connection, and the check for stray data looks at the socket only. An answer that carries the identifier of another request was passed on as well, and other tasks could run between the check of an idle connection and the write.

Now a connection with unread octets is not kept, the head is written right after the check, and an answer to another request ends as request-cut.

--- a/src/balsamtide/agent/target_client.py
+++ b/src/balsamtide/agent/target_client.py
@@ -15,6 +15,7 @@
     EndOfMessage,
     InformationalResponse,
     ProtocolError,
+    RemoteProtocolError,
     Request,
     Response,
 )
@@ -152,9 +153,12 @@
     ) -> Outcome:
         is_reusable = False
         try:
+            # No other task runs between the check of an idle connection and this write,
+            # so that an answer which is read later follows the request.
+            await self._send_head(connection, facts, head, progress)
             async with open_nursery() as nursery:
-                nursery.start_soon(self._send, connection, facts, head, body, progress)
-                await self._receive(connection, answer, progress)
+                nursery.start_soon(self._send_body, connection, body)
+                await self._receive(connection, facts, answer, progress)
                 nursery.cancel_scope.cancel()
             is_reusable = await self._keep_idle(connection)
         except* STREAM_ERRORS as errors:
@@ -166,29 +170,37 @@
                 await connection.stream.aclose()
         return self._make_outcome(progress, progress.answer_exit)
 
-    async def _send(
+    async def _send_head(
         self,
         connection: TargetConnection,
         facts: RequestFacts,
         head: RequestHead,
-        body: AsyncIterator[bytes],
         progress: Progress,
     ) -> None:
-        http = connection.http
         request = Request(
             method=head.method,
             target=head.path,
             headers=_request_headers(head.headers, self.target, facts),
         )
-        request_bytes = http.send(request)
+        request_bytes = connection.http.send(request)
         progress.is_write_started = True
         await connection.stream.send_all(request_bytes or b"")
+
+    @staticmethod
+    async def _send_body(
+        connection: TargetConnection, body: AsyncIterator[bytes]
+    ) -> None:
+        http = connection.http
         async for chunk in body:
             await connection.stream.send_all(http.send(Data(data=chunk)) or b"")
         await connection.stream.send_all(http.send(EndOfMessage()) or b"")
 
     async def _receive(
-        self, connection: TargetConnection, answer: AnswerWriter, progress: Progress
+        self,
+        connection: TargetConnection,
+        facts: RequestFacts,
+        answer: AnswerWriter,
+        progress: Progress,
     ) -> None:
         while True:
             event = connection.http.next_event()
@@ -198,6 +210,7 @@
             elif isinstance(event, InformationalResponse):
                 continue
             elif isinstance(event, Response):
+                _check_request_id(event, facts)
                 progress.status = event.status_code
                 headers = _answer_headers(event)
                 progress.answer_exit = classify_answer(event.status_code, headers)
@@ -212,12 +225,19 @@
             elif isinstance(event, Data):
                 await answer.write(bytes(event.data))
             elif isinstance(event, EndOfMessage | ConnectionClosed) or event is PAUSED:
+                if not progress.is_answered:
+                    raise RemoteProtocolError(f"{event!r} before an answer")
                 return
 
     async def _keep_idle(self, connection: TargetConnection) -> bool:
         http = connection.http
         if http.our_state is not DONE or http.their_state is not DONE:
             return False
+        unread, _ = http.trailing_data
+        if unread:
+            # Octets behind the answer, such as a second copy of it, would be taken for
+            # the answer to the next request.
+            return False
         if len(self.idle_connections) >= MAX_IDLE_CONNECTIONS:
             return False
         http.start_next_cycle()
@@ -236,6 +256,15 @@
     return not stream.socket.is_readable()
 
 
+def _check_request_id(response: Response, facts: RequestFacts) -> None:
+    """Raise `RemoteProtocolError` if an answer names another request than its own."""
+    for name, value in response.headers:
+        if name == REQUEST_ID and value != facts.request_id.encode():
+            raise RemoteProtocolError(
+                f"the answer to {facts.request_id} names the request {value!r}"
+            )
+
+
 def _request_headers(
     headers: tuple[Header, ...], target: Endpoint, facts: RequestFacts
 ) -> list[Header]:
