Count suspensions of the machine on all clocks

Cause: processes read the monotonic clock, which stands still on Linux while a machine is suspended. A process that woke after minutes took its view for current: it refused flows by it, told peers a low age, and a started peer that heard it first used targets that had left.

All deadlines now follow the clock that counts suspensions. Ruled out: comparing the wall clock with the monotonic one, since the wall clock jumps.

--- a/src/balsamtide/daemon.py
+++ b/src/balsamtide/daemon.py
@@ -25,6 +25,7 @@
 from balsamtide.telemetry.records import AuditRecord
 from balsamtide.telemetry.status import Status
 from balsamtide.telemetry.telemetry import Telemetry
+from balsamtide.transport.boot_time_clock import BootTimeClock
 
 __all__ = ["EXIT_SETTINGS", "EXIT_START", "Daemon", "main"]
 
@@ -211,7 +212,7 @@
         return EXIT_SETTINGS
     exit_code = 0
     try:
-        run(_run_daemon, settings)
+        run(_run_daemon, settings, clock=BootTimeClock())
     except* OSError as errors:
         print(
             "balsamtided: stopped by an operating system error: "
--- a/src/balsamtide/flow_node/agent_runtime.py
+++ b/src/balsamtide/flow_node/agent_runtime.py
@@ -1,8 +1,8 @@
 """Sockets of an agent that forwards raw packets."""
 
 from collections.abc import Sequence
-from time import monotonic
 
+from balsamtide.clock import boot_time
 from balsamtide.fleet.view_gossip import ViewGossip
 from balsamtide.flow_node.runtime import BatchHandler, FlowRuntime
 from balsamtide.flow_node.settings import FlowSettings
@@ -80,7 +80,7 @@
     def begin_stop(self) -> None:
         """Stop accepting new flows, and announce it to the peers."""
         self.is_stopping = self.processor.is_stopping = True
-        self.execute(self.processor.announce_leaving(ANNOUNCED_ABSENCE_S, monotonic()))
+        self.execute(self.processor.announce_leaving(ANNOUNCED_ABSENCE_S, boot_time()))
 
     def has_work(self, now: float) -> bool:
         """Whether the target has requests in progress."""
--- a/src/balsamtide/flow_node/balancer_runtime.py
+++ b/src/balsamtide/flow_node/balancer_runtime.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Sequence
 from math import inf
-from time import monotonic
 
+from balsamtide.clock import boot_time
 from balsamtide.fleet.view_gossip import ViewGossip
 from balsamtide.flow_node.runtime import BatchHandler, FlowRuntime
 from balsamtide.flow_node.settings import FlowSettings
@@ -75,7 +75,7 @@
     def begin_stop(self) -> None:
         """Report not ready; forwarding goes on until the routers stop sending."""
         self.is_stopping = True
-        self.stop_started_at = monotonic()
+        self.stop_started_at = boot_time()
 
     def has_work(self, now: float) -> bool:
         """Whether the routers may still send packets here."""
--- a/src/balsamtide/flow_node/daemon.py
+++ b/src/balsamtide/flow_node/daemon.py
@@ -4,8 +4,9 @@
 import sys
 from collections.abc import Callable
 from random import SystemRandom
-from time import monotonic, process_time
+from time import process_time
 
+from balsamtide.clock import boot_time
 from balsamtide.fleet.view_gossip import ViewGossip
 from balsamtide.flow_node.events import DOCUMENT_REJECTED, NODE_STARTED
 from balsamtide.flow_node.metrics import DOCUMENTS_REJECTED
@@ -91,7 +92,7 @@
             host=parse_ipv4(settings.host),
             seeds=[parse_ipv4(seed) for seed in settings.seeds],
             random=self.random,
-            now=monotonic(),
+            now=boot_time(),
         )
         if settings.agent is None:
             return self._make_balancer(gossip)
@@ -132,7 +133,7 @@
             order=ObjectiveOrder(),
             sink=sink,
             flow_lifetime_s=settings.flow_lifetime_s,
-            now=monotonic(),
+            now=boot_time(),
         )
         return AgentRuntime(
             processor=agent, settings=settings, gossip=gossip, sink=sink
@@ -146,7 +147,8 @@
         from trio import run
 
         from balsamtide.flow_node.http_client import HttpClient
-        from balsamtide.flow_node.node import FlowNode, MonotonicClock
+        from balsamtide.flow_node.node import FlowNode
+        from balsamtide.transport.boot_time_clock import BootTimeClock
 
         client = HttpClient(self.settings.store, timeout_s=STORE_TIMEOUT_S)
         node = FlowNode(
@@ -157,7 +159,7 @@
             random=self.random,
             is_stop_requested=self.is_stop_requested,
         )
-        run(node.run, clock=MonotonicClock())
+        run(node.run, clock=BootTimeClock())
 
 
 def _import_libraries() -> None:
--- a/src/balsamtide/flow_node/node.py
+++ b/src/balsamtide/flow_node/node.py
@@ -4,7 +4,6 @@
 from math import inf
 from random import Random
 from signal import SIGHUP, SIGINT, SIGTERM
-from time import monotonic
 
 from trio import (
     Event,
@@ -16,7 +15,6 @@
     serve_tcp,
     sleep,
 )
-from trio.abc import Clock
 
 from balsamtide.fleet.store import FleetStore
 from balsamtide.flow_node.events import (
@@ -34,7 +32,7 @@
 from balsamtide.transport.receiving import receive_batch
 from balsamtide.transport.udp_socket import UdpSocket
 
-__all__ = ["FlowNode", "MonotonicClock"]
+__all__ = ["FlowNode"]
 
 # Poll interval of the settings file.  A change must be applied within two seconds,
 # after which a freed address may be reassigned to another service.
@@ -55,24 +53,6 @@
 NOT_READY = ServerResponse(503, b"not ready\n")
 
 
-class MonotonicClock(Clock):
-    """Clock that gives trio the same time as `time.monotonic`.
-
-    Code that runs without trio reads that clock as well.
-    """
-
-    def start_clock(self) -> None:
-        """Do nothing: the clock runs already."""
-
-    def current_time(self) -> float:
-        """Return the monotonic time, seconds."""
-        return monotonic()
-
-    def deadline_to_sleep_time(self, deadline: float) -> float:
-        """Return the time until ``deadline``, seconds."""
-        return deadline - monotonic()
-
-
 class FlowNode:
     """Drives a runtime with trio.
 
--- a/src/balsamtide/flow_node/runtime.py
+++ b/src/balsamtide/flow_node/runtime.py
@@ -7,8 +7,8 @@
 from abc import ABC, abstractmethod
 from collections.abc import Callable, Sequence
 from math import inf
-from time import monotonic
 
+from balsamtide.clock import boot_time
 from balsamtide.fleet.view import FleetView
 from balsamtide.fleet.view_gossip import ViewGossip
 from balsamtide.flow_node.events import PULL_FAILED, VIEW_CHANGED
@@ -157,7 +157,7 @@
     def process_view_change(self, before: FleetView, source: str) -> None:
         """Report a changed view and execute the actions that follow from it."""
         view = self.gossip.view
-        now = monotonic()
+        now = boot_time()
         # The content tag is a checksum of the configuration version and the targets.
         if view.content_tag != before.content_tag:
             self.sink.event(
--- a/src/balsamtide/flow_node/startup_loop.py
+++ b/src/balsamtide/flow_node/startup_loop.py
@@ -10,9 +10,9 @@
 from math import inf
 from select import POLLIN, poll
 from sys import meta_path
-from time import monotonic
 from typing import Any
 
+from balsamtide.clock import boot_time
 from balsamtide.fleet.merge import with_listing
 from balsamtide.fleet.store import FleetStore, Listing, StoreError
 from balsamtide.flow_node.events import NODE_LOADED, STORE_LOST
@@ -70,7 +70,7 @@
         self.client = client
         self.read_coroutine: Coroutine[Any, None, Listing] = store.read_all()
         self.timeout_s = timeout_s
-        self.read_deadline = monotonic() + timeout_s
+        self.read_deadline = boot_time() + timeout_s
         self.is_read_over = False
         # What the suspended read waits for, None while it does not run.
         self.read_wait: SocketWait | None = None
@@ -95,7 +95,7 @@
 
     def _is_wait_over(self) -> bool:
         """Start the read when it is due; return whether the wait for a view is over."""
-        now = monotonic()
+        now = boot_time()
         if self.read_wait is not None:
             if now > self.read_deadline:
                 host = self.client.connection.host
@@ -114,21 +114,21 @@
             meta_path.remove(finder)
 
     def _serve_sockets(self) -> None:
-        until = monotonic() + MAX_IMPORT_DELAY_S
-        while self._poll(0.0) and monotonic() < until:
+        until = boot_time() + MAX_IMPORT_DELAY_S
+        while self._poll(0.0) and boot_time() < until:
             pass
 
     def _poll(self, wait_s: float) -> bool:
         """Handle readable sockets and expired timers; return if a socket was ready."""
-        due_s = max(0.0, self.runtime.next_deadline() - monotonic())
+        due_s = max(0.0, self.runtime.next_deadline() - boot_time())
         ready = self.poller.poll(min(wait_s, due_s) * 1000)
         for descriptor, _ in ready:
             if self.read_wait is not None and descriptor == self.read_wait.descriptor:
                 self._resume_read()
             else:
                 socket, handler = self.handlers[descriptor]
-                handler(socket.receive_queued(), monotonic())
-        now = monotonic()
+                handler(socket.receive_queued(), boot_time())
+        now = boot_time()
         if self.runtime.next_deadline() <= now:
             self.runtime.tick(now)
             self.runtime.sink.flush()
@@ -139,7 +139,7 @@
     def _resume_read(self) -> None:
         """Resume the read until it waits for its socket again."""
         self._clear_read_wait()
-        self.read_deadline = monotonic() + self.timeout_s
+        self.read_deadline = boot_time() + self.timeout_s
         try:
             self.read_wait = self.read_coroutine.send(None)
         except StopIteration as end:
@@ -163,11 +163,11 @@
     def _finish_read(self, result: Listing | StoreError) -> None:
         self._end_read()
         if isinstance(result, StoreError):
-            self.runtime.outage_started_at = monotonic()
+            self.runtime.outage_started_at = boot_time()
             self.runtime.sink.event(STORE_LOST, reason=str(result))
             return
         gossip = self.runtime.gossip
-        now = monotonic()
+        now = boot_time()
         before = gossip.view
         view = with_listing(before, result, grace_until=-inf, now=now)
         self.runtime.execute(gossip.apply_store_view(view, now))
--- a/src/balsamtide/platform/store.py
+++ b/src/balsamtide/platform/store.py
@@ -4,10 +4,10 @@
 from binascii import Error as Base64Error
 from collections.abc import Callable, Iterable, Mapping
 from json import loads
-from time import monotonic
 from typing import Any
 from urllib.parse import urlencode
 
+from balsamtide.clock import boot_time
 from balsamtide.fleet.store import (
     ConfigurationChange,
     FleetStore,
@@ -155,7 +155,7 @@
             return TargetChange(name, None, is_removed=True)
         try:
             return TargetChange(
-                name, decode_target(name, _decode_value(item), monotonic())
+                name, decode_target(name, _decode_value(item), boot_time())
             )
         except DocumentError as error:
             self.on_reject(key, str(error))
--- a/src/balsamtide/telemetry/line_sink.py
+++ b/src/balsamtide/telemetry/line_sink.py
@@ -3,9 +3,10 @@
 from collections.abc import Callable
 from json import dumps
 from os import set_blocking, write
-from time import monotonic, time
+from time import time
 from typing import TYPE_CHECKING, Any
 
+from balsamtide.clock import boot_time
 from balsamtide.telemetry.event import Event, Level, Metric
 from balsamtide.telemetry.sink import Sink
 
@@ -47,7 +48,7 @@
         *,
         instance: str,
         descriptor: int = 1,
-        clock: Callable[[], float] = monotonic,
+        clock: Callable[[], float] = boot_time,
         wall_clock: Callable[[], float] = time,
     ) -> None:
         self.instance = instance
