--- a/src/balsamtide/flow_node/http_client.py
+++ b/src/balsamtide/flow_node/http_client.py
@@ -15,7 +15,8 @@
 from trio.socket import SOCK_STREAM, socket
 
 from balsamtide.fleet.store import StoreError
-from balsamtide.flow_node.http import BaseHttpClient, HttpConnection, HttpResponse
+from balsamtide.flow_node.http import BaseHttpClient, HttpResponse
+from balsamtide.flow_node.http_connection import HttpConnection
 
 __all__ = ["HttpClient"]
 
--- /dev/null
+++ b/src/balsamtide/flow_node/http_connection.py
@@ -0,0 +1,90 @@
+"""HTTP/1.1 client protocol for the platform's store, without I/O."""
+
+from h11 import (
+    CLIENT,
+    DONE,
+    NEED_DATA,
+    Connection,
+    ConnectionClosed,
+    Data,
+    EndOfMessage,
+    ProtocolError,
+    Request,
+    Response,
+)
+
+from balsamtide.fleet.store import StoreError
+from balsamtide.flow_node.http import HttpResponse
+
+__all__ = ["HttpConnection"]
+
+# The store's pages hold up to 1 MB, which base64 increases by a third.
+MAX_BODY_BYTES = 2_000_000
+
+
+class HttpConnection:
+    """Protocol state of one client connection.
+
+    Parameters
+    ----------
+    host : str
+        Value of the ``Host`` header.
+    """
+
+    def __init__(self, host: str) -> None:
+        self.host = host
+        self.connection = Connection(CLIENT)
+        self.status = 0
+        self.body = bytearray()
+
+    @property
+    def is_reusable(self) -> bool:
+        """Whether a further request can be sent on the connection."""
+        connection = self.connection
+        return connection.our_state is connection.their_state is DONE
+
+    def request(self, path: str) -> bytes:
+        """Return the bytes of a GET request for a path with its query."""
+        if self.is_reusable:
+            self.connection.start_next_cycle()
+        self.status = 0
+        self.body.clear()
+        head = Request(method="GET", target=path, headers=[("Host", self.host)])
+        chunks = (self.connection.send(head), self.connection.send(EndOfMessage()))
+        return b"".join(chunk for chunk in chunks if chunk)
+
+    def receive(self, data: bytes | None) -> HttpResponse | None:
+        """Parse received bytes; return the response once it is complete.
+
+        Raises
+        ------
+        StoreError
+            If the response is not valid HTTP, too long or truncated.
+        """
+        try:
+            if data is not None:
+                self.connection.receive_data(data)
+            return self._next_response()
+        except ProtocolError as error:
+            raise StoreError(f"{type(error).__name__}: {error}") from error
+
+    def _next_response(self) -> HttpResponse | None:
+        while True:
+            event = self.connection.next_event()
+            if event is NEED_DATA:
+                return None
+            if isinstance(event, Response):
+                self.status = event.status_code
+            elif isinstance(event, Data):
+                self.body += event.data
+                if len(self.body) > MAX_BODY_BYTES:
+                    raise StoreError(
+                        f"{self.host}: response body exceeds {MAX_BODY_BYTES} bytes"
+                    )
+            elif isinstance(event, EndOfMessage):
+                return HttpResponse(self.status, bytes(self.body))
+            elif isinstance(event, ConnectionClosed):
+                raise StoreError(
+                    f"{self.host}: the server closed the connection after "
+                    f"{len(self.body)} bytes of the response body"
+                )
--- a/src/balsamtide/flow_node/startup_client.py
+++ b/src/balsamtide/flow_node/startup_client.py
@@ -12,7 +12,7 @@
 from socket import socket as Socket
 
 from balsamtide.fleet.store import StoreError
-from balsamtide.flow_node.http import BaseHttpClient, HttpConnection, HttpResponse
+from balsamtide.flow_node.http import BaseHttpClient, HttpResponse
 
 __all__ = ["SocketWait", "StartupClient"]
 
@@ -51,7 +51,6 @@
     def __init__(self, address: tuple[str, int]) -> None:
         self.address = address
         self.socket: Socket | None = None
-        self.connection = HttpConnection(f"{address[0]}:{address[1]}")
 
     async def get(self, path: str, *, wait_s: float = 0.0) -> HttpResponse:
         """Send a GET request; ``wait_s`` is ignored.
@@ -69,6 +68,10 @@
             raise StoreError(f"{type(error).__name__}: {error}") from error
 
     async def _connect(self) -> None:
+        # Most processes get their view from a peer and need no HTTP before they serve.
+        from balsamtide.flow_node.http_connection import HttpConnection
+
+        self.connection = HttpConnection(f"{self.address[0]}:{self.address[1]}")
         self.socket = Socket(AF_INET, SOCK_STREAM)
         self.socket.setblocking(False)
         error_number = self.socket.connect_ex(self.address)
--- a/src/balsamtide/flow_node/startup_loop.py
+++ b/src/balsamtide/flow_node/startup_loop.py
@@ -98,8 +98,8 @@
         now = boot_time()
         if self.read_wait is not None:
             if now > self.read_deadline:
-                host = self.client.connection.host
-                self._finish_read(StoreError(f"no response from {host} in time"))
+                host, port = self.client.address
+                self._finish_read(StoreError(f"{host}:{port}: no response in time"))
         elif not self.is_read_over and self.runtime.gossip.should_read(now):
             self._resume_read()
         # The store has nothing before the first configuration.
--- a/src/balsamtide/platform/store.py
+++ b/src/balsamtide/platform/store.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable, Iterable, Mapping
 from json import loads
 from typing import Any
-from urllib.parse import urlencode
 
 from balsamtide.clock import boot_time
 from balsamtide.fleet.store import (
@@ -111,6 +110,9 @@
         allowed: tuple[int, ...] = (OK,),
         wait_s: float = 0.0,
     ) -> dict[str, Any]:
+        # Imported with the first read, since a started process may not need one.
+        from urllib.parse import urlencode
+
         response = await self.client.get(f"{path}?{urlencode(query)}", wait_s=wait_s)
         if response.status == GONE:
             raise HistoryGoneError(
--- a/tests/test_flow_node.py
+++ b/tests/test_flow_node.py
@@ -18,8 +18,9 @@
 from balsamtide.fleet.store import Listing, StoreError
 from balsamtide.fleet.view import FleetView
 from balsamtide.flow_node.balancer_runtime import BalancerRuntime
-from balsamtide.flow_node.http import HttpConnection, HttpResponse
+from balsamtide.flow_node.http import HttpResponse
 from balsamtide.flow_node.http_client import HttpClient
+from balsamtide.flow_node.http_connection import HttpConnection
 from balsamtide.flow_node.http_server import HttpServer, ServerResponse
 from balsamtide.flow_node.settings_source import SettingsSource
 from balsamtide.flow_node.startup_client import StartupClient
@@ -465,3 +466,20 @@
         problems = [str(error) for error in caught.value.exceptions]
         assert len(problems) == 1
         assert problems[0].endswith("for 0.5 s")
+
+
+@pytest.mark.parametrize("role", ["balancer", "agent"])
+def test_http_is_not_imported_before_packets_are_served(role):
+    """A started process that gets its view from a peer imports no HTTP library."""
+    program = (
+        "import sys\n"
+        "import balsamtide.flow_node.daemon, balsamtide.flow_node.%s_runtime\n"
+        "print(*{'h11', 'urllib.parse', 'trio'} & set(sys.modules))"
+    )
+    done = subprocess.run(
+        [sys.executable, "-c", program % role],
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    assert done.stdout.split() == []
