Ask the neighbors of a flow's home targets before its whole service

A balancer that did not know such a flow asked all agents of the service, and all of these sent its packet to their targets after a restart of everything.

Ruled out: longer rounds, and a history of rings, which a loss of power takes away.

--- a/src/balsamtide/fleet/target_ring.py
+++ b/src/balsamtide/fleet/target_ring.py
@@ -6,16 +6,19 @@
 """
 
 from bisect import bisect
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from zlib import crc32
 
 from balsamtide.fleet.target import FlowTarget
 
-__all__ = ["HOME_COUNT", "TargetRing"]
+__all__ = ["HOME_COUNT", "NEIGHBOR_COUNT", "TargetRing"]
 
 # At 60% of all slots in use, one of six candidates is free for 95% of the new flows;
 # the others wait or are forwarded.
 HOME_COUNT = 6
+# Targets after each home target on the ring that are asked for flows whose home target
+# was displaced by new targets.
+NEIGHBOR_COUNT = 2
 # In a smaller service, all targets are home targets of each flow.
 MAX_WITHOUT_RING = 16
 
@@ -45,11 +48,33 @@
         if count <= MAX_WITHOUT_RING:
             return self.targets
         chosen: list[int] = []
-        probe = crc32(key)
-        while len(chosen) < HOME_COUNT:
-            index = bisect(self.points, probe) % count
+        for index in self._probed(key):
             while index in chosen:
                 index = (index + 1) % count
             chosen.append(index)
-            probe = crc32(key, probe)
         return tuple(self.targets[index] for index in chosen)
+
+    def neighbors(self, key: bytes) -> tuple[FlowTarget, ...]:
+        """Return the targets that follow the home targets of a flow on the ring.
+
+        After a release or a scale-out, most flows whose target is no longer one of
+        their home targets are at one of these.
+        """
+        count = len(self.targets)
+        if count <= MAX_WITHOUT_RING:
+            return ()
+        indices = dict.fromkeys(
+            (index + step) % count
+            for step in range(NEIGHBOR_COUNT + 1)
+            for index in self._probed(key)
+        )
+        homes = set(self.homes(key))
+        found = (self.targets[index] for index in indices)
+        return tuple(target for target in found if target not in homes)
+
+    def _probed(self, key: bytes) -> Iterator[int]:
+        """Yield the index of the first target after each probe of a flow."""
+        probe = crc32(key)
+        for _ in range(HOME_COUNT):
+            yield bisect(self.points, probe) % len(self.targets)
+            probe = crc32(key, probe)
--- a/src/balsamtide/fleet/view.py
+++ b/src/balsamtide/fleet/view.py
@@ -242,10 +242,17 @@
 
     def homes(self, service: str, key: bytes) -> tuple[FlowTarget, ...]:
         """Return the home targets of a flow, in any state."""
+        return self._ring(service).homes(key)
+
+    def neighbors(self, service: str, key: bytes) -> tuple[FlowTarget, ...]:
+        """Return the targets that follow a flow's home targets, in any state."""
+        return self._ring(service).neighbors(key)
+
+    def _ring(self, service: str) -> TargetRing:
         ring = self.rings.get(service)
         if ring is None:
             ring = self.rings[service] = TargetRing(self.by_service.get(service, ()))
-        return ring.homes(key)
+        return ring
 
     @cached_property
     def rings(self) -> dict[str, TargetRing]:
--- a/src/balsamtide/flows/open_flows.py
+++ b/src/balsamtide/flows/open_flows.py
@@ -93,6 +93,8 @@
         service = route.service_for(packet.client_key)
         if stage is SearchStage.HOMES:
             targets = self.view.homes(service, packet.client_key)
+        elif stage is SearchStage.NEIGHBORS:
+            targets = self.view.neighbors(service, packet.client_key)
         else:
             targets = self.view.by_service.get(service, ())
         return {target.host for target in targets}
--- a/src/balsamtide/flows/search.py
+++ b/src/balsamtide/flows/search.py
@@ -29,8 +29,9 @@
     """Agents that are asked, one group after the other."""
 
     HOMES = 0
-    SERVICE = 1
-    FLEET = 2
+    NEIGHBORS = 1
+    SERVICE = 2
+    FLEET = 3
 
 
 @dataclass(slots=True)
--- a/tests/test_flow_homes.py
+++ b/tests/test_flow_homes.py
@@ -2,11 +2,12 @@
 
 from collections import Counter
 from dataclasses import replace
+from random import Random
 
 import pytest
 
 from balsamtide.fleet.target import FlowTarget, TargetState
-from balsamtide.fleet.target_ring import HOME_COUNT, TargetRing
+from balsamtide.fleet.target_ring import HOME_COUNT, NEIGHBOR_COUNT, TargetRing
 from balsamtide.flows.events import FLOW_SEARCHED
 from balsamtide.flows.search import FRAME_BURST, RETURN_TIMEOUT_S, SEARCH_ROUND_S
 from balsamtide.protocol.flow_actions import ToClient
@@ -106,21 +107,57 @@
     assert carry.host == asked[0].host
 
 
-def test_flow_outside_its_homes_is_found_in_the_next_stage():
-    """If no home target has a flow, the other agents of the service are asked."""
-    view = make_view(*make_targets(109))
-    balancer = make_balancer(view)
-    asked = frames(balancer.receive_packet(DATA, NOW), Locate)
+def deny(balancer, asked, ownership=Ownership.NO):
+    """Let the asked agents answer, and return the agents that are asked then."""
     later = []
     for action in asked:
-        located = Located(KEY, Ownership.NO)
+        located = Located(KEY, ownership)
         later += frames(balancer.receive_frame(located, action.host, NOW), Locate)
-    assert len({a.host for a in (*asked, *later)}) == len(asked) + len(later) == 109
+    return later
+
+
+def test_flow_outside_its_homes_is_found_in_a_later_stage():
+    """If no home target has a flow, its neighbors are asked, then the service."""
+    view = make_view(*make_targets(109))
+    balancer = make_balancer(view)
+    homes = frames(balancer.receive_packet(DATA, NOW), Locate)
+    neighbors = deny(balancer, homes)
+    assert {a.host for a in neighbors} == {
+        t.host for t in view.neighbors("orders", KEY)
+    }
+    others = deny(balancer, neighbors)
+    stages = (*homes, *neighbors, *others)
+    assert len({action.host for action in stages}) == len(stages) == 109
     located = Located(KEY, Ownership.OWNS)
-    (carry,) = frames(balancer.receive_frame(located, later[0].host, NOW), Carry)
+    (carry,) = frames(balancer.receive_frame(located, others[0].host, NOW), Carry)
     assert carry.frame.packet == DATA
 
 
+@pytest.mark.parametrize("share", [0.15, 0.3, 0.45])
+@pytest.mark.parametrize("count", [42, 109, 300])
+def test_release_leaves_flows_within_reach_of_their_homes(count, share):
+    """After a release, 95% of the flows at old targets are found among 18 agents."""
+    random = Random(count)
+    before = make_targets(count)
+    replaced = set(random.sample(range(count), int(count * share)))
+    after = [
+        replace(target, name=f"i-{random.getrandbits(32):08x}")
+        if index in replaced
+        else target
+        for index, target in enumerate(before)
+    ]
+    old, new = TargetRing(before), TargetRing(after)
+    found = []
+    for number in range(2000):
+        key = b"%d" % number
+        owner = random.choice(old.homes(key))
+        if owner in after:
+            asked = (*new.homes(key), *new.neighbors(key))
+            assert len(set(asked)) == len(asked) <= HOME_COUNT * (NEIGHBOR_COUNT + 1)
+            found.append(owner in asked)
+    assert sum(found) >= 0.95 * len(found)
+
+
 def test_uncertain_homes_return_the_packet_before_others_are_asked():
     """After a restart of all agents, a search reaches six targets and not all."""
     view = make_view(*make_targets(109))
@@ -134,7 +171,9 @@
     for action in delivered:
         disowned = Disowned(DisownReason.RETURNED, DATA)
         asked += balancer.receive_frame(disowned, action.host, NOW)
-    assert len(asked) == len(frames(asked, Locate)) == 109 - HOME_COUNT
+    neighbors = {target.host for target in view.neighbors("orders", KEY)}
+    assert {action.host for action in frames(asked, Locate)} == neighbors
+    assert len(asked) == len(neighbors) <= HOME_COUNT * NEIGHBOR_COUNT
 
 
 def test_unanswered_home_is_no_denial():
@@ -143,7 +182,7 @@
     now = NOW
     actions = list(balancer.receive_packet(DATA, now))
     silent = frames(actions, Locate)[0].host
-    for _ in range(3):
+    for _ in range(4):
         asked, actions = frames(actions, Locate), []
         for action in asked:
             if action.host != silent:
