Move a share of the queue to targets that return, instead of deciding anew

An agent now moves the new targets' share of its queue, from the end, once for each target that became available.

--- a/bench/standins/flow_world.py
+++ b/bench/standins/flow_world.py
@@ -24,6 +24,7 @@
 from balsamtide.flows.flow_queue import ObjectiveOrder, QueueOrder
 from balsamtide.flows.packet import FlowPacket
 from balsamtide.flows.placement import LeastLoadedPlacement, PlacementPolicy
+from balsamtide.flows.rebalancing import MoveShareOfNewTargets, QueueRebalancing
 from balsamtide.flows.spillover import LoadSpillover, SpilloverPolicy
 from balsamtide.platform.packets import (
     ACK,
@@ -185,6 +186,8 @@
         Makes the policy of an agent.
     order : QueueOrder or None
         Order of waiting openings.
+    rebalancing : callable or None
+        Makes the policy of an agent for targets that are added.
     """
 
     def __init__(
@@ -194,6 +197,7 @@
         placement: Callable[[Random], PlacementPolicy] | None = None,
         spillover: Callable[[Random], SpilloverPolicy] | None = None,
         order: QueueOrder | None = None,
+        rebalancing: Callable[[Random], QueueRebalancing] | None = None,
     ) -> None:
         self.options = options
         self.random = Random(options.seed)
@@ -216,6 +220,9 @@
         )
         self.make_spillover = spillover or (lambda random: LoadSpillover(random=random))
         self.order = order or ObjectiveOrder()
+        self.make_rebalancing = rebalancing or (
+            lambda random: MoveShareOfNewTargets(random=random)
+        )
         self.balancers = {
             FIRST_BALANCER + n: self._make_balancer(FIRST_BALANCER + n, make_placement)
             for n in range(options.balancers)
@@ -282,6 +289,7 @@
             packets=self.packets,
             gossip=self._make_gossip(host),
             spillover=self.make_spillover(self.random),
+            rebalancing=self.make_rebalancing(self.random),
             order=self.order,
             sink=self.sink,
             flow_lifetime_s=60.0,
@@ -298,6 +306,9 @@
         self.view = view
         for process in (*self.balancers.values(), *self.agents.values()):
             process.gossip.view = view
+        for host, agent in self.agents.items():
+            if host not in self.down:
+                self._act(host, agent.view_changed(self.now))
 
     # Time
 
--- a/src/balsamtide/flow_node/daemon.py
+++ b/src/balsamtide/flow_node/daemon.py
@@ -121,6 +121,7 @@
         from balsamtide.flow_node.agent_runtime import AgentRuntime
         from balsamtide.flows.flow_agent import FlowAgent
         from balsamtide.flows.flow_queue import ObjectiveOrder
+        from balsamtide.flows.rebalancing import MoveShareOfNewTargets
         from balsamtide.flows.spillover import LoadSpillover
 
         settings, sink = self.settings, self.sink
@@ -130,6 +131,7 @@
             packets=WirePackets(),
             gossip=gossip,
             spillover=LoadSpillover(random=self.random),
+            rebalancing=MoveShareOfNewTargets(random=self.random),
             order=ObjectiveOrder(),
             sink=sink,
             flow_lifetime_s=settings.flow_lifetime_s,
--- a/src/balsamtide/flows/agent_state.py
+++ b/src/balsamtide/flows/agent_state.py
@@ -10,6 +10,7 @@
 from balsamtide.flows.metrics import PACKETS
 from balsamtide.flows.packet import PacketCodec
 from balsamtide.flows.processor import FlowProcessor
+from balsamtide.flows.rebalancing import QueueRebalancing
 from balsamtide.flows.spillover import SpilloverPolicy
 from balsamtide.protocol.flow_actions import Action, ToTarget
 from balsamtide.protocol.flow_frames import (
@@ -68,6 +69,8 @@
         Replica of routes and targets.
     spillover : SpilloverPolicy
         Accepts, forwards or refuses new flows.
+    rebalancing : QueueRebalancing
+        Moves queued flows to targets that were added.
     order : QueueOrder
         Order in which queued flows are delivered.
     sink : Sink
@@ -86,6 +89,7 @@
         packets: PacketCodec,
         gossip: ViewGossip,
         spillover: SpilloverPolicy,
+        rebalancing: QueueRebalancing,
         order: QueueOrder,
         sink: Sink,
         flow_lifetime_s: float,
@@ -93,6 +97,10 @@
     ) -> None:
         super().__init__(host=host, packets=packets, gossip=gossip, sink=sink)
         self.spillover = spillover
+        self.rebalancing = rebalancing
+        # Agents whose targets were available at the last change of the view, None
+        # before the first one.
+        self.seen_hosts: frozenset[int] | None = None
         self.flows = LocalFlows()
         self.queue = FlowQueue(order=order)
         self.forwarded: dict[bytes, ForwardedFlow] = {}
--- a/src/balsamtide/flows/flow_queue.py
+++ b/src/balsamtide/flows/flow_queue.py
@@ -120,6 +120,20 @@
         key = min(self.entries, key=lambda key: order.sort_key(self.entries[key], now))
         return self.entries.pop(key)
 
+    def pop_last(self, now: float) -> QueuedFlow:
+        """Remove and return the flow that would be delivered last.
+
+        Raises
+        ------
+        IndexError
+            If the queue is empty.
+        """
+        if not self.entries:
+            raise IndexError("no flow is queued")
+        order = self.order
+        key = max(self.entries, key=lambda key: order.sort_key(self.entries[key], now))
+        return self.entries.pop(key)
+
     def pop_all(self) -> list[QueuedFlow]:
         """Remove and return all flows, in order of arrival."""
         queued, self.entries = list(self.entries.values()), {}
--- a/src/balsamtide/flows/new_flows.py
+++ b/src/balsamtide/flows/new_flows.py
@@ -218,11 +218,21 @@
         return actions
 
     def view_changed(self, now: float) -> list[Action]:
-        """Decide again about all queued flows, since the targets changed."""
+        """Move queued flows to targets that the change of the view added."""
+        hosts = frozenset(t.host for t in self.available_targets(self.service, now))
+        before, self.seen_hosts = self.seen_hosts, hosts
+        if before is None or not self.queue:
+            return []
+        new_hosts = sorted(hosts - before - {self.host})
         actions: list[Action] = []
-        for queued in self.queue.pop_all():
-            carry = replace(queued.updated_carry(now), visited=(), best_host=0)
-            actions += self._spill_over(queued.packet, carry, now)
+        for host in self.rebalancing.destinations(
+            len(self.queue), new_hosts, len(hosts)
+        ):
+            queued = self.queue.pop_last(now)
+            carry = replace(
+                queued.updated_carry(now), visited=(), best_host=0, must_take=False
+            )
+            actions += self._forward(queued.packet, carry, host, "new target", now)
         return actions
 
     def _deliver_syn(
--- a/tests/fakes_packets.py
+++ b/tests/fakes_packets.py
@@ -15,6 +15,7 @@
 from balsamtide.flows.flow_balancer import FlowBalancer
 from balsamtide.flows.flow_queue import ObjectiveOrder
 from balsamtide.flows.placement import LeastLoadedPlacement
+from balsamtide.flows.rebalancing import MoveShareOfNewTargets
 from balsamtide.flows.spillover import LoadSpillover
 from balsamtide.platform.packets import ACK, HEADER, RETURNED, SYN, WirePackets
 from balsamtide.protocol.flow_actions import Action, SendFrame
@@ -108,6 +109,7 @@
         packets=PACKETS,
         gossip=make_gossip(host, view or make_view(), age_s=age_s),
         spillover=LoadSpillover(random=Random(1)),
+        rebalancing=MoveShareOfNewTargets(random=Random(1)),
         order=ObjectiveOrder(),
         sink=MemorySink(),
         flow_lifetime_s=flow_lifetime_s,
