Continue the search for an unknown flow with its next packet

What agents deny, and what targets return, now holds for 3 s, so that the next packet of the flow asks the others, and a flow that everyone denied is reset without another search. Ruled out: a larger limit of frames, which costs most when processors are scarce.

--- a/src/balsamtide/flows/flow_balancer.py
+++ b/src/balsamtide/flows/flow_balancer.py
@@ -309,7 +309,7 @@
         if frame.reason is DisownReason.RETURNED:
             if search is None or not search.was_sent_tentatively:
                 return []
-            search.tentative_hosts.discard(source)
+            search.record_return(source)
             return [] if search.tentative_hosts else self._continue_search(key, now)
         if search is not None:
             search.add_packet(packet.raw)
--- a/src/balsamtide/flows/open_flows.py
+++ b/src/balsamtide/flows/open_flows.py
@@ -80,9 +80,13 @@
             return []
         search = self.searches.start(key, packet.raw, now)
         search.asked.update(without)
-        hosts = self._stage_hosts(SearchStage.HOMES, packet) - search.asked
+        hosts = self._stage_hosts(search.stage, packet) - search.asked
         if not hosts:
             return self._continue_search(key, now)
+        is_later = search.stage is not SearchStage.HOMES
+        if is_later and not self.searches.may_continue(len(hosts), now):
+            search.is_incomplete = True
+            return self._finish_not_found(key, now)
         return self._query_agents(key, hosts, packet.acknowledgement, now)
 
     def _stage_hosts(self, stage: SearchStage, packet: FlowPacket) -> set[int]:
@@ -164,7 +168,7 @@
 
     def _finish_not_found(self, key: bytes, now: float) -> list[Action]:
         """Reset a flow that certainly no target has, otherwise drop its packet."""
-        search = self.searches.end(key)
+        search = self.searches.end_denied(key)
         if search is None:
             return []
         packet = self.packets.decode(search.packets[0])
--- a/src/balsamtide/flows/search.py
+++ b/src/balsamtide/flows/search.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 from enum import IntEnum
+from math import inf
 
 from balsamtide.protocol.flow_frames import Ownership
 
@@ -16,6 +17,11 @@
 MAX_HELD_PACKETS = 16
 # Bounds the memory for packets of unknown flows.
 MAX_SEARCHES = 512
+# How long the denials of an ended search hold when its client sends the flow's next
+# packet.  Not longer than agents remember that their target returned a packet.
+DENIAL_VALID_S = 3.0
+# Bounds the memory for denials, some 500 bytes each in a service of 50 targets.
+MAX_DENIED_FLOWS = 1024
 # Rate and burst of a token bucket for new searches.  Each asks a flow's home targets
 # first, which costs less than a millisecond of a small balancer's time.
 SEARCHES_PER_S = 200.0
@@ -58,6 +64,11 @@
         Whether the first packet was sent to the uncertain hosts, which may return it.
     is_incomplete : bool
         Whether an agent or its target did not answer, so that the flow may still exist.
+    denied : set of int
+        Hosts that do not have the flow: the agent said so, or the target returned the
+        packet.
+    denials_valid_until : float
+        Local time at which the first denial has to be asked for again.
     """
 
     packets: list[bytes]
@@ -69,6 +80,8 @@
     tentative_hosts: set[int] = field(default_factory=set)
     was_sent_tentatively: bool = False
     is_incomplete: bool = False
+    denied: set[int] = field(default_factory=set)
+    denials_valid_until: float = inf
 
     def add_packet(self, packet: bytes) -> None:
         """Hold one more packet, or drop it beyond `MAX_HELD_PACKETS`."""
@@ -78,9 +91,16 @@
     def record_answer(self, host: int, ownership: Ownership) -> None:
         """Record a host's answer that it does not have the flow or can't tell."""
         self.unanswered.discard(host)
-        if ownership is Ownership.MAYBE and host not in self.uncertain:
+        if ownership is Ownership.NO:
+            self.denied.add(host)
+        elif host not in self.uncertain:
             self.uncertain.append(host)
 
+    def record_return(self, host: int) -> None:
+        """Record that a target returned the packet that was delivered tentatively."""
+        self.tentative_hosts.discard(host)
+        self.denied.add(host)
+
     def start_tentative_delivery(self, now: float) -> list[int]:
         """Start a tentative delivery to the uncertain hosts and return them."""
         self.was_sent_tentatively = True
@@ -104,6 +124,25 @@
         return new_hosts
 
 
+@dataclass(frozen=True, slots=True)
+class Denials:
+    """What an ended search has established about a flow.
+
+    Parameters
+    ----------
+    hosts : tuple of int
+        Hosts that do not have the flow.
+    stage : SearchStage
+        Agents that were asked last.
+    valid_until : float
+        Local time until which the denials hold.
+    """
+
+    hosts: tuple[int, ...]
+    stage: SearchStage
+    valid_until: float
+
+
 class TokenBucket:
     """Token bucket; a cost above the burst waits for a full bucket.
 
@@ -135,6 +174,7 @@
 
     def __init__(self) -> None:
         self.searches: dict[bytes, FlowSearch] = {}
+        self.denials: dict[bytes, Denials] = {}
         self.new_searches = TokenBucket(SEARCHES_PER_S, SEARCH_BURST)
         self.later_frames = TokenBucket(FRAMES_PER_S, FRAME_BURST)
 
@@ -153,8 +193,20 @@
         return self.searches.get(key)
 
     def start(self, key: bytes, packet: bytes, now: float) -> FlowSearch:
-        """Start a search with its first packet."""
-        search = FlowSearch([packet], set(), set(), now)
+        """Start a search with its first packet, where the last one ended.
+
+        A client retransmits the packets of a flow that nobody has until its deadline;
+        without the earlier denials, each one would ask the same agents again.
+        """
+        search = FlowSearch(
+            [packet], set(), set(), now, denials_valid_until=now + DENIAL_VALID_S
+        )
+        denials = self.denials.pop(key, None)
+        if denials is not None and now < denials.valid_until:
+            search.denied.update(denials.hosts)
+            search.asked.update(denials.hosts)
+            search.stage = denials.stage
+            search.denials_valid_until = denials.valid_until
         self.searches[key] = search
         return search
 
@@ -162,6 +214,17 @@
         """Remove a search and return it."""
         return self.searches.pop(key, None)
 
+    def end_denied(self, key: bytes) -> FlowSearch | None:
+        """Remove a search that did not find its flow, and keep its denials."""
+        search = self.searches.pop(key, None)
+        if search is not None and search.denied:
+            self.denials[key] = Denials(
+                tuple(search.denied), search.stage, search.denials_valid_until
+            )
+            if len(self.denials) > MAX_DENIED_FLOWS:
+                del self.denials[next(iter(self.denials))]
+        return search
+
     def due_keys(self, now: float) -> list[bytes]:
         """Return the flows whose search round has ended."""
         return [key for key, search in self.searches.items() if search.deadline <= now]
--- a/tests/test_flow_homes.py
+++ b/tests/test_flow_homes.py
@@ -9,7 +9,13 @@
 from balsamtide.fleet.target import FlowTarget, TargetState
 from balsamtide.fleet.target_ring import HOME_COUNT, NEIGHBOR_COUNT, TargetRing
 from balsamtide.flows.events import FLOW_SEARCHED
-from balsamtide.flows.search import FRAME_BURST, RETURN_TIMEOUT_S, SEARCH_ROUND_S
+from balsamtide.flows.search import (
+    DENIAL_VALID_S,
+    FRAME_BURST,
+    RETURN_TIMEOUT_S,
+    SEARCH_ROUND_S,
+    SearchStage,
+)
 from balsamtide.protocol.flow_actions import ToClient
 from balsamtide.protocol.flow_frames import (
     Carry,
@@ -133,6 +139,50 @@
     assert carry.frame.packet == DATA
 
 
+@pytest.mark.parametrize("ownership", [Ownership.NO, Ownership.MAYBE])
+def test_retransmission_asks_no_agent_that_denied_the_flow(ownership):
+    """The next packet of a flow that nobody has continues the search that ended."""
+    view = make_view(*make_targets(109))
+    balancer = make_balancer(view)
+    # The frames of the last stage are used up, so that the first search ends early.
+    balancer.searches.later_frames.try_take(int(FRAME_BURST) - 20, NOW)
+    now, asked = NOW, []
+    for round_start in (NOW, NOW + 0.2, NOW + 0.6):
+        now = round_start
+        actions = balancer.receive_packet(DATA, now)
+        while locates := frames(actions, Locate):
+            asked += [action.host for action in locates]
+            actions, delivered = [], []
+            for action in locates:
+                delivered += balancer.receive_frame(
+                    Located(KEY, ownership), action.host, now
+                )
+            actions += frames(delivered, Locate)
+            for action in frames(delivered, Carry):
+                actions += balancer.receive_frame(
+                    Disowned(DisownReason.RETURNED, DATA), action.host, now
+                )
+        assert KEY not in balancer.searches.searches
+    assert len(asked) == len(set(asked)) == 109
+    later = frames(balancer.receive_packet(DATA, now + DENIAL_VALID_S), Locate)
+    homes = {target.host for target in view.homes("orders", KEY)}
+    assert {action.host for action in later} == homes
+
+
+def test_unaffordable_rest_of_a_search_is_no_denial():
+    """A continued search that may not ask the remaining agents resets nothing."""
+    balancer = make_balancer(make_view(*make_targets(20)))
+    balancer.receive_packet(DATA, NOW)
+    search = balancer.searches.searches[KEY]
+    for host in sorted(balancer.view.by_host)[:-1]:
+        search.record_answer(host, Ownership.NO)
+    search.stage = SearchStage.FLEET
+    balancer.searches.end_denied(KEY)
+    balancer.searches.later_frames.tokens = 0.0
+    balancer.searches.later_frames.refilled_at = NOW
+    assert balancer.receive_packet(DATA, NOW) == []
+
+
 @pytest.mark.parametrize("share", [0.15, 0.3, 0.45])
 @pytest.mark.parametrize("count", [42, 109, 300])
 def test_release_leaves_flows_within_reach_of_their_homes(count, share):
