--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -41,6 +41,7 @@
         9,  # A late copy of an opening at a second target.
         15,  # A list without targets, and clocks that disagree.
         31,  # A late copy of an opening at the target of the flow.
+        152076,  # A balancer that starts while an outage of the store ends.
     ],
 )
 def test_promises_hold_under_faults(tmp_path, seed):
