Tie the denials of a search to the handshake that was asked for

Cause, found by reading: an agent denies a late packet of an earlier flow although it has the present flow of the same client port. With the denial kept by key alone, the next packet of the present flow skipped that agent, and the flow was reset once all others had denied it. The new test fails without the check.

--- a/src/balsamtide/flows/open_flows.py
+++ b/src/balsamtide/flows/open_flows.py
@@ -78,7 +78,7 @@
         if not self.searches.may_start(now):
             self.report_dropped(key, now, "too many searches")
             return []
-        search = self.searches.start(key, packet.raw, now)
+        search = self.searches.start(packet, now)
         search.asked.update(without)
         hosts = self._stage_hosts(search.stage, packet) - search.asked
         if not hosts:
--- a/src/balsamtide/flows/search.py
+++ b/src/balsamtide/flows/search.py
@@ -4,6 +4,7 @@
 from enum import IntEnum
 from math import inf
 
+from balsamtide.flows.packet import FlowPacket, sequence_distance
 from balsamtide.protocol.flow_frames import Ownership
 
 __all__ = ["FlowSearch", "SearchStage", "SearchTable"]
@@ -20,6 +21,9 @@
 # How long the denials of an ended search hold when its client sends the flow's next
 # packet.  Not longer than agents remember that their target returned a packet.
 DENIAL_VALID_S = 3.0
+# A packet of the same flow acknowledges at most so much more than the one that was
+# denied.  Another handshake differs by more, except once in thousands.
+SAME_HANDSHAKE_BYTES = 1 << 20
 # Bounds the memory for denials, some 500 bytes each in a service of 50 targets.
 MAX_DENIED_FLOWS = 1024
 # Rate and burst of a token bucket for new searches.  Each asks a flow's home targets
@@ -48,6 +52,8 @@
     ----------
     packets : list of bytes
         Packets held until the search ends.
+    acknowledgement : int
+        What the first packet acknowledges, which tells apart the flows of one key.
     asked : set of int
         Hosts that were asked.
     unanswered : set of int
@@ -72,6 +78,7 @@
     """
 
     packets: list[bytes]
+    acknowledgement: int
     asked: set[int]
     unanswered: set[int]
     deadline: float
@@ -130,6 +137,8 @@
 
     Parameters
     ----------
+    acknowledgement : int
+        What the packet that was denied acknowledges.
     hosts : tuple of int
         Hosts that do not have the flow.
     stage : SearchStage
@@ -138,10 +147,20 @@
         Local time until which the denials hold.
     """
 
+    acknowledgement: int
     hosts: tuple[int, ...]
     stage: SearchStage
     valid_until: float
 
+    def holds_for(self, packet: FlowPacket, now: float) -> bool:
+        """Whether a packet of the same flow would be denied as well.
+
+        A late packet of an earlier flow from the same client port is denied by the
+        agent that has the port's present flow.
+        """
+        ahead = sequence_distance(packet.acknowledgement, self.acknowledgement)
+        return now < self.valid_until and ahead < SAME_HANDSHAKE_BYTES
+
 
 class TokenBucket:
     """Token bucket; a cost above the burst waits for a full bucket.
@@ -192,17 +211,23 @@
         """Return the search for a flow, if there is one."""
         return self.searches.get(key)
 
-    def start(self, key: bytes, packet: bytes, now: float) -> FlowSearch:
+    def start(self, packet: FlowPacket, now: float) -> FlowSearch:
         """Start a search with its first packet, where the last one ended.
 
         A client retransmits the packets of a flow that nobody has until its deadline;
         without the earlier denials, each one would ask the same agents again.
         """
+        key = packet.client_key
         search = FlowSearch(
-            [packet], set(), set(), now, denials_valid_until=now + DENIAL_VALID_S
+            [packet.raw],
+            packet.acknowledgement,
+            set(),
+            set(),
+            now,
+            denials_valid_until=now + DENIAL_VALID_S,
         )
         denials = self.denials.pop(key, None)
-        if denials is not None and now < denials.valid_until:
+        if denials is not None and denials.holds_for(packet, now):
             search.denied.update(denials.hosts)
             search.asked.update(denials.hosts)
             search.stage = denials.stage
@@ -219,7 +244,10 @@
         search = self.searches.pop(key, None)
         if search is not None and search.denied:
             self.denials[key] = Denials(
-                tuple(search.denied), search.stage, search.denials_valid_until
+                search.acknowledgement,
+                tuple(search.denied),
+                search.stage,
+                search.denials_valid_until,
             )
             if len(self.denials) > MAX_DENIED_FLOWS:
                 del self.denials[next(iter(self.denials))]
--- a/tests/test_flow_homes.py
+++ b/tests/test_flow_homes.py
@@ -122,6 +122,15 @@
     return later
 
 
+def deny_all(balancer, packet):
+    """Let all agents deny a packet's flow; return the agents that were asked."""
+    asked, answers = [], frames(balancer.receive_packet(packet, NOW), Locate)
+    while answers:
+        asked += answers
+        answers = deny(balancer, answers)
+    return asked
+
+
 def test_flow_outside_its_homes_is_found_in_a_later_stage():
     """If no home target has a flow, its neighbors are asked, then the service."""
     view = make_view(*make_targets(109))
@@ -169,6 +178,19 @@
     assert {action.host for action in later} == homes
 
 
+def test_denials_of_an_earlier_flow_do_not_hold_for_a_reused_port():
+    """What denied a late packet may have the flow that its client opened since."""
+    view = make_view(*make_targets(20), version=3)
+    balancer = make_balancer(view)
+    late = client_packet(acknowledgement=700 + 2**30, data=10)
+    asked = deny_all(balancer, late)
+    assert len(asked) == 20
+    again = frames(balancer.receive_packet(DATA, NOW + 0.1), Locate)
+    assert {action.host for action in again} == {
+        target.host for target in view.homes("orders", KEY)
+    }
+
+
 def test_unaffordable_rest_of_a_search_is_no_denial():
     """A continued search that may not ask the remaining agents resets nothing."""
     balancer = make_balancer(make_view(*make_targets(20)))
