Keep denials for the retransmissions of a flow, and search for data first

A target that denies a flow past its handshake never gets it, so denials hold for 30 s. Searches for packets without data leave half of the frames to others. The replay of 60 dead flows with eight transmissions each sends at most one question an agent and flow.

--- a/src/balsamtide/flows/open_flows.py
+++ b/src/balsamtide/flows/open_flows.py
@@ -84,11 +84,15 @@
         if not hosts:
             return self._continue_search(key, now)
         is_later = search.stage is not SearchStage.HOMES
-        if is_later and not self.searches.may_continue(len(hosts), now):
+        if is_later and not self._may_continue(hosts, packet, now):
             search.is_incomplete = True
             return self._finish_not_found(key, now)
         return self._query_agents(key, hosts, packet.acknowledgement, now)
 
+    def _may_continue(self, hosts: set[int], packet: FlowPacket, now: float) -> bool:
+        has_data = packet.length > 0
+        return self.searches.may_continue(len(hosts), now, has_data=has_data)
+
     def _stage_hosts(self, stage: SearchStage, packet: FlowPacket) -> set[int]:
         """Return the agents to ask in a stage, without a route all of them."""
         route = self.view.route(packet.destination)
@@ -148,7 +152,7 @@
             hosts = self._stage_hosts(stage, packet) - search.asked
             if not hosts:
                 continue
-            if not self.searches.may_continue(len(hosts), now):
+            if not self._may_continue(hosts, packet, now):
                 search.is_incomplete = True
                 break
             search.start_stage(stage)
--- a/src/balsamtide/flows/search.py
+++ b/src/balsamtide/flows/search.py
@@ -18,9 +18,10 @@
 MAX_HELD_PACKETS = 16
 # Bounds the memory for packets of unknown flows.
 MAX_SEARCHES = 512
-# How long the denials of an ended search hold when its client sends the flow's next
-# packet.  Not longer than agents remember that their target returned a packet.
-DENIAL_VALID_S = 3.0
+# How long the denials of an ended search hold for the next packets of the flow.  A
+# target that does not have a flow past its handshake never gets it; the limit is for
+# ports that are used again, and exceeds the retransmissions of a packet.
+DENIAL_VALID_S = 30.0
 # A packet of the same flow acknowledges at most so much more than the one that was
 # denied.  Another handshake differs by more, except once in thousands.
 SAME_HANDSHAKE_BYTES = 1 << 20
@@ -177,12 +178,12 @@
         self.tokens = burst
         self.refilled_at = 0.0
 
-    def try_take(self, cost: int, now: float) -> bool:
-        """Take tokens if there are enough."""
+    def try_take(self, cost: int, now: float, *, left: float = 0.0) -> bool:
+        """Take tokens if there are enough and ``left`` tokens remain."""
         earned = (now - self.refilled_at) * self.per_s
         self.tokens = min(self.burst, self.tokens + earned)
         self.refilled_at = now
-        if self.tokens < min(cost, self.burst):
+        if self.tokens < min(cost + left, self.burst):
             return False
         self.tokens -= cost
         return True
@@ -203,9 +204,14 @@
             return False
         return self.new_searches.try_take(1, now)
 
-    def may_continue(self, frames: int, now: float) -> bool:
-        """Take tokens for a later stage; return False if the limit is reached."""
-        return self.later_frames.try_take(frames, now)
+    def may_continue(self, frames: int, now: float, *, has_data: bool) -> bool:
+        """Take tokens for a later stage; return False if the limit is reached.
+
+        Searches for packets without data leave half of the tokens to those with data,
+        whose clients wait for an answer.
+        """
+        left = 0.0 if has_data else FRAME_BURST / 2
+        return self.later_frames.try_take(frames, now, left=left)
 
     def get(self, key: bytes) -> FlowSearch | None:
         """Return the search for a flow, if there is one."""
--- a/tests/test_flow_homes.py
+++ b/tests/test_flow_homes.py
@@ -178,6 +178,39 @@
     assert {action.host for action in later} == homes
 
 
+@pytest.mark.parametrize(("size", "is_asked"), [(0, False), (10, True)])
+def test_searches_for_data_go_first(size, is_asked):
+    """When frames are scarce, only packets with data get more than their homes."""
+    balancer = make_balancer(make_view(*make_targets(109)))
+    balancer.searches.later_frames.try_take(int(FRAME_BURST / 2), NOW)
+    packet = client_packet(acknowledgement=700, data=size)
+    homes = frames(balancer.receive_packet(packet, NOW), Locate)
+    assert len(homes) == HOME_COUNT
+    assert bool(deny(balancer, homes)) is is_asked
+
+
+def test_storm_of_retransmissions_asks_each_agent_once():
+    """Packets of 60 flows that nobody has ask 42 agents once each, not each time."""
+    balancer = make_balancer(make_view(*make_targets(42)))
+    balancer.gossip.confirmed_at = NOW + 60
+    balancer.gossip.has_seen_peer = False
+    sent = 0
+    for delay in (0.0, 0.2, 0.6, 1.4, 3.0, 4.6, 6.2, 7.8):
+        now = NOW + delay
+        for port in range(1, 61):
+            packet = client_packet(port=port, acknowledgement=700, data=1)
+            key = PACKETS.decode(packet).client_key
+            locates = frames(balancer.receive_packet(packet, now), Locate)
+            while locates:
+                sent += len(locates)
+                actions = []
+                for action in locates:
+                    located = Located(key, Ownership.NO)
+                    actions += balancer.receive_frame(located, action.host, now)
+                locates = frames(actions, Locate)
+    assert sent <= 60 * 42
+
+
 def test_denials_of_an_earlier_flow_do_not_hold_for_a_reused_port():
     """What denied a late packet may have the flow that its client opened since."""
     view = make_view(*make_targets(20), version=3)
