--- a/src/balsamtide/flows/search.py
+++ b/src/balsamtide/flows/search.py
@@ -45,7 +45,7 @@
     FLEET = 3
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, kw_only=True)
 class FlowSearch:
     """Search for one flow.
 
@@ -55,14 +55,14 @@
         Packets held until the search ends.
     acknowledgement : int
         What the first packet acknowledges, which tells apart the flows of one key.
+    deadline : float
+        Local time at which the current round ends.
     asked : set of int
         Hosts that were asked.
     unanswered : set of int
         Hosts that have not answered yet.
     uncertain : list of int
         Hosts whose agent can't tell because it started a short time ago.
-    deadline : float
-        Local time at which the current round ends.
     stage : SearchStage
         Agents that were asked last.
     tentative_hosts : set of int
@@ -80,9 +80,9 @@
 
     packets: list[bytes]
     acknowledgement: int
-    asked: set[int]
-    unanswered: set[int]
     deadline: float
+    asked: set[int] = field(default_factory=set)
+    unanswered: set[int] = field(default_factory=set)
     uncertain: list[int] = field(default_factory=list)
     stage: SearchStage = SearchStage.HOMES
     tentative_hosts: set[int] = field(default_factory=set)
@@ -132,7 +132,7 @@
         return new_hosts
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True, slots=True, kw_only=True)
 class Denials:
     """What an ended search has established about a flow.
 
@@ -225,11 +225,9 @@
         """
         key = packet.client_key
         search = FlowSearch(
-            [packet.raw],
-            packet.acknowledgement,
-            set(),
-            set(),
-            now,
+            packets=[packet.raw],
+            acknowledgement=packet.acknowledgement,
+            deadline=now,
             denials_valid_until=now + DENIAL_VALID_S,
         )
         denials = self.denials.pop(key, None)
@@ -250,10 +248,10 @@
         search = self.searches.pop(key, None)
         if search is not None and search.denied:
             self.denials[key] = Denials(
-                search.acknowledgement,
-                tuple(search.denied),
-                search.stage,
-                search.denials_valid_until,
+                acknowledgement=search.acknowledgement,
+                hosts=tuple(search.denied),
+                stage=search.stage,
+                valid_until=search.denials_valid_until,
             )
             if len(self.denials) > MAX_DENIED_FLOWS:
                 del self.denials[next(iter(self.denials))]
