Count the limit of a planned stop from the signal

By reading: a SIGTERM during imports was noted as a flag, and the limit of the stop began only when the node ran, a second and more later on half a core, while the margin for the exit is a second.

The signal's time is kept now.

--- a/src/balsamtide/flow_daemon.py
+++ b/src/balsamtide/flow_daemon.py
@@ -3,26 +3,29 @@
 Raw packets are the packets of TCP-like flows, in the format of
 `balsamtide.platform.packets`; `balsamtide.daemon` forwards QUIC datagrams instead.
 Role and addresses come from the JSON file at ``$BALSAMTIDE_SETTINGS``, by default
-``/etc/balsamtide/node.yaml``.  Signal handlers are installed before any other import:
-imports can take most of a second, during which the default action of a signal would
-terminate the process.
+``/etc/balsamtide/node.yaml``.  Signal handlers are installed before all imports but
+those of the standard library's clock: imports can take most of a second, during which
+the default action of a signal would terminate the process.
 """
 
 import sys
+from math import inf
 from signal import SIGHUP, SIGTERM, signal
 
+from balsamtide.clock import boot_time
+
 __all__ = ["StopRequest", "main"]
 
 
 class StopRequest:
-    """Records whether a signal requested a planned stop."""
+    """Records when a signal first requested a planned stop."""
 
     def __init__(self) -> None:
-        self.is_set = False
+        self.requested_at = inf
 
     def receive(self, *_: object) -> None:
         """Handle the signal."""
-        self.is_set = True
+        self.requested_at = min(self.requested_at, boot_time())
 
 
 def _ignore(*_: object) -> None:
@@ -42,7 +45,7 @@
     signal(SIGHUP, _ignore)
     from balsamtide.flow_node.daemon import run_daemon
 
-    return run_daemon(lambda: stop.is_set)
+    return run_daemon(lambda: stop.requested_at)
 
 
 if __name__ == "__main__":
--- a/src/balsamtide/flow_node/daemon.py
+++ b/src/balsamtide/flow_node/daemon.py
@@ -41,8 +41,8 @@
         Initial settings.
     source : SettingsSource
         Settings file; detects changes and has the function that reads the file.
-    is_stop_requested : callable
-        Returns whether a signal requested a planned stop during startup.
+    stop_requested_at : callable
+        Returns when a signal requested a planned stop during startup, else infinity.
     """
 
     def __init__(
@@ -50,13 +50,13 @@
         settings: FlowSettings,
         source: SettingsSource,
         *,
-        is_stop_requested: Callable[[], bool],
+        stop_requested_at: Callable[[], float],
     ) -> None:
         self.settings = settings
         self.source = source
         self.random = SystemRandom()
         self.sink = LineSink(instance=settings.instance)
-        self.is_stop_requested = is_stop_requested
+        self.stop_requested_at = stop_requested_at
 
     def run(self) -> None:
         """Run until a planned stop has completed."""
@@ -159,7 +159,7 @@
             store=PlatformStore(client, watch_s=WATCH_S, on_reject=self._log_rejected),
             readiness_path=READINESS_PATH,
             random=self.random,
-            is_stop_requested=self.is_stop_requested,
+            stop_requested_at=self.stop_requested_at,
         )
         run(node.run, clock=BootTimeClock())
 
@@ -170,13 +170,13 @@
     import balsamtide.flow_node.node  # noqa: F401
 
 
-def run_daemon(is_stop_requested: Callable[[], bool]) -> int:
+def run_daemon(stop_requested_at: Callable[[], float]) -> int:
     """Run a daemon with the platform's settings file.
 
     Parameters
     ----------
-    is_stop_requested : callable
-        Returns whether a signal requested a planned stop.
+    stop_requested_at : callable
+        Returns when a signal requested a planned stop, infinity if none did.
 
     Returns
     -------
@@ -190,5 +190,5 @@
         for problem in error.problems:
             print(f"settings: {problem}", file=sys.stderr)
         return EXIT_SETTINGS
-    FlowDaemon(settings, source, is_stop_requested=is_stop_requested).run()
+    FlowDaemon(settings, source, stop_requested_at=stop_requested_at).run()
     return 0
--- a/src/balsamtide/flow_node/node.py
+++ b/src/balsamtide/flow_node/node.py
@@ -68,8 +68,9 @@
         URL path of the readiness probe.
     random : Random
         Source of the retry jitter.
-    is_stop_requested : callable
-        Returns whether a signal requested a stop before `run` handled signals.
+    stop_requested_at : callable
+        Returns when a signal requested a stop before `run` handled signals, else
+        infinity.
     """
 
     def __init__(
@@ -80,15 +81,17 @@
         store: FleetStore,
         readiness_path: str,
         random: Random,
-        is_stop_requested: Callable[[], bool],
+        stop_requested_at: Callable[[], float],
     ) -> None:
         self.runtime = runtime
-        self.is_stop_requested = is_stop_requested
+        self.stop_requested_at = stop_requested_at
         self.gossip = runtime.gossip
         self.sink: LineSink = runtime.sink
         self.source = source
         self.readiness_path = readiness_path
         self.stopping = Event()
+        # Local time at which a planned stop ends, whatever work remains.
+        self.stop_deadline = inf
         self.timer_at = inf
         self.timer_reset = Event()
         self.reader = StoreReader(
@@ -149,13 +152,14 @@
 
     async def _handle_signals(self) -> None:
         with open_signal_receiver(SIGTERM, SIGINT, SIGHUP) as signals:
-            if self.is_stop_requested():
-                self.stopping.set()
+            requested_at = self.stop_requested_at()
+            if requested_at < inf:
+                self._request_stop(requested_at)
             async for number in signals:
                 if number == SIGHUP:
                     self.reload()
                 else:
-                    self.stopping.set()
+                    self._request_stop(current_time())
 
     async def _flush_log(self) -> None:
         while True:
@@ -183,10 +187,17 @@
 
     # The planned stop
 
+    def _request_stop(self, requested_at: float) -> None:
+        """Begin a planned stop that was requested at a time, possibly before `run`."""
+        timeout_s = self.runtime.settings.stop_timeout_s
+        self.stop_deadline = min(
+            self.stop_deadline, requested_at + timeout_s - STOP_MARGIN_S
+        )
+        self.stopping.set()
+
     async def _drain(self) -> None:
         runtime = self.runtime
-        latest = current_time() + runtime.settings.stop_timeout_s - STOP_MARGIN_S
-        while current_time() < latest and runtime.has_work(current_time()):
+        while current_time() < self.stop_deadline and runtime.has_work(current_time()):
             await sleep(STOP_CHECK_PERIOD_S)
 
     # Readiness
--- a/tests/test_flow_node.py
+++ b/tests/test_flow_node.py
@@ -5,6 +5,7 @@
 import subprocess
 import sys
 from contextlib import suppress
+from dataclasses import replace
 from json import dumps, loads
 from random import Random
 from time import monotonic, sleep
@@ -15,6 +16,7 @@
 from trio import sleep as trio_sleep
 from trio.testing import memory_stream_pair
 
+from balsamtide.clock import boot_time
 from balsamtide.fleet.store import Listing, StoreError
 from balsamtide.fleet.view import FleetView
 from balsamtide.flow_node.balancer_runtime import BalancerRuntime
@@ -22,6 +24,7 @@
 from balsamtide.flow_node.http_client import HttpClient
 from balsamtide.flow_node.http_connection import HttpConnection
 from balsamtide.flow_node.http_server import HttpServer, ServerResponse
+from balsamtide.flow_node.node import STOP_MARGIN_S, FlowNode
 from balsamtide.flow_node.settings_source import SettingsSource
 from balsamtide.flow_node.startup_client import StartupClient
 from balsamtide.flow_node.startup_loop import StartupLoop
@@ -34,6 +37,7 @@
 from balsamtide.platform.store import PlatformStore
 from balsamtide.telemetry.line_metrics import render_lines_metrics
 from balsamtide.telemetry.line_sink import BURST_LINES, LineSink
+from balsamtide.transport.boot_time_clock import BootTimeClock
 from bench.standins.flow_platform import (
     LoopbackStore,
     LoopbackTarget,
@@ -188,19 +192,18 @@
             raise self.listing
         return self.listing
 
+    async def watch(self, revision):
+        """Raise an error, since nothing changes."""
+        raise StoreError("down")
+
 
 VIEW = make_view()
 LISTING = Listing(9, VIEW.configuration, tuple(VIEW.targets.values()))
 
 
-@pytest.mark.parametrize(
-    ("listing", "expected_flows"),
-    [(LISTING, 1), (StoreError("down"), 0), (Listing(3, None, ()), 0)],
-    ids=["read", "store-down", "empty-store"],
-)
-def test_startup_loop_handles_packets_during_imports(pipe, listing, expected_flows):
-    """Packets that arrive during imports are handled if the store could be read."""
-    ports = {"packets": free_port(), "ready": 1, "inner": free_port()}
+def make_runtime(pipe, *, ready=1):
+    """Return a balancer's runtime on loopback without a view."""
+    ports = {"packets": free_port(), "ready": ready, "inner": free_port()}
     document = settings_document(
         "127.0.0.1", ports=ports, store="127.0.0.1:1", seeds=[], service=""
     )
@@ -217,9 +220,19 @@
         placement=LeastLoadedPlacement(zone="z", random=Random(1)),
         sink=sink,
     )
-    runtime = BalancerRuntime(
+    return BalancerRuntime(
         processor=balancer, settings=settings, gossip=gossip, sink=sink
     )
+
+
+@pytest.mark.parametrize(
+    ("listing", "expected_flows"),
+    [(LISTING, 1), (StoreError("down"), 0), (Listing(3, None, ()), 0)],
+    ids=["read", "store-down", "empty-store"],
+)
+def test_startup_loop_handles_packets_during_imports(pipe, listing, expected_flows):
+    """Packets that arrive during imports are handled if the store could be read."""
+    runtime = make_runtime(pipe)
     loop = StartupLoop(
         runtime,
         client=StartupClient(("127.0.0.1", 1)),
@@ -233,7 +246,7 @@
             __import__("balsamtide.there_is_no_such_module")
 
     loop.run(import_libraries)
-    assert len(balancer.pending_flows) == expected_flows
+    assert len(runtime.processor.pending_flows) == expected_flows
     runtime.ingress.close()
     runtime.inner.close()
 
@@ -483,3 +496,25 @@
         check=True,
     )
     assert done.stdout.split() == []
+
+
+@pytest.mark.parametrize("before_s", [0.0, 4.0, 30.0])
+def test_stop_that_was_requested_during_imports_ends_before_the_kill(
+    pipe, tmp_path, before_s
+):
+    """Time that passed before the node ran counts for the limit of a planned stop."""
+    runtime = make_runtime(pipe, ready=free_port())
+    runtime.has_work = lambda now: True
+    limit_s = STOP_MARGIN_S + 0.5 + before_s
+    runtime.settings = replace(runtime.settings, stop_timeout_s=limit_s)
+    requested_at = boot_time() - before_s
+    node = FlowNode(
+        runtime=runtime,
+        source=SettingsSource(str(tmp_path / "none"), lambda path: runtime.settings),
+        store=ScriptedStore(StoreError("down")),
+        readiness_path="/ready",
+        random=Random(1),
+        stop_requested_at=lambda: requested_at,
+    )
+    run(node.run, clock=BootTimeClock())
+    assert boot_time() <= requested_at + limit_s
