Announce updates of the view together when they follow each other

Cause: each update made each process send three digests at once, 25 to 39 times in the two seconds after a power loss, when the targets return one by one.

Updates within 40 ms are announced together, the first at once. Replay of 100 updates in a second: at most 81 digests and the periodic ones, 300 before. Ruled out: longer periods of the digests, which delay updates that come alone.

--- a/src/balsamtide/fleet/view_gossip.py
+++ b/src/balsamtide/fleet/view_gossip.py
@@ -24,6 +24,10 @@
 # Peers that get a digest at once after an update.  They send digests in turn after they
 # applied it, so that four rounds reach 200 processes.
 UPDATE_FANOUT = 3
+# Updates that follow within this time are announced together.  While the targets of a
+# service return or are replaced, the messages of a process thus follow from this period
+# and not from the number of targets.
+UPDATE_GAP_S = 0.04
 # A confirmation that is newer by at least this much is sent on at once.
 CONFIRMATION_STEP_S = 0.3
 # A process starts to read when the view was not confirmed for two watches of a healthy
@@ -86,6 +90,9 @@
         # Last successful read if this process is a reader, otherwise -inf.
         self.local_claim_at = -inf
         self.digest_at = now
+        # Earliest time to announce the next update; whether one waits for that.
+        self.update_at = now
+        self.has_unsent_update = False
         self.read_at = self._first_read_time(now)
         self.exchange = ViewExchange()
 
@@ -166,7 +173,7 @@
         # All processes read once at their start; only a later read makes a reader.
         if not is_first:
             self.local_claim_at = now
-        return self._send_digests(UPDATE_FANOUT, now)
+        return self._announce_update(now)
 
     def withdraw_claim(self) -> None:
         """Stop claiming to be a reader: a preferred one exists, or a read failed."""
@@ -202,7 +209,7 @@
             return actions
         self._set_view(view)
         self.confirmed_at = max(self.confirmed_at, download.confirmed_at)
-        return actions + self._send_digests(UPDATE_FANOUT, now)
+        return actions + self._announce_update(now)
 
     def receive_digest(self, digest: Digest, source: int, now: float) -> list[Action]:
         """Process a peer's digest; return a reply, a pull or digests to send."""
@@ -250,7 +257,7 @@
         confirmed_at = now - digest.age_s
         is_newer = confirmed_at > self.confirmed_at + CONFIRMATION_STEP_S
         self.confirmed_at = max(self.confirmed_at, confirmed_at)
-        return self._send_digests(UPDATE_FANOUT, now) if is_newer else []
+        return self._announce_update(now) if is_newer else []
 
     def _record_claims(self, claims: Iterable[ReaderClaim], now: float) -> None:
         for claim in claims:
@@ -264,11 +271,14 @@
     @property
     def deadline(self) -> float:
         """Time of the next call of `tick`."""
-        return min(self.digest_at, self.exchange.deadline)
+        update_at = self.update_at if self.has_unsent_update else inf
+        return min(self.digest_at, update_at, self.exchange.deadline)
 
     def tick(self, now: float) -> list[Action]:
         """Return the periodic digest and repeated requests, if they are due."""
         actions = self.exchange.tick(self.view, now)
+        if self.has_unsent_update:
+            actions += self._announce_update(now)
         if now < self.digest_at:
             return actions
         has_view = self.view.revision >= 0
@@ -283,6 +293,14 @@
             h: t for h, t in self.readers.items() if now < t + CLAIM_LEASE_S
         }
 
+    def _announce_update(self, now: float) -> list[Action]:
+        """Send digests to some peers, or later if an update was just announced."""
+        self.has_unsent_update = now < self.update_at
+        if self.has_unsent_update:
+            return []
+        self.update_at = now + UPDATE_GAP_S
+        return self._send_digests(UPDATE_FANOUT, now)
+
     def _send_digests(self, count: int, now: float) -> list[Action]:
         hosts = self.known_hosts(now)
         chosen = self.random.sample(hosts, min(count, len(hosts)))
--- a/tests/test_fleet_updates.py
+++ b/tests/test_fleet_updates.py
@@ -22,7 +22,12 @@
     TargetState,
 )
 from balsamtide.fleet.view_codec import ViewDecodeError, decode_update, encode_update
-from balsamtide.fleet.view_gossip import ViewGossip
+from balsamtide.fleet.view_gossip import (
+    DIGEST_PERIOD_S,
+    UPDATE_FANOUT,
+    UPDATE_GAP_S,
+    ViewGossip,
+)
 from balsamtide.protocol.flow_actions import PullEnded, SendFrame
 from balsamtide.protocol.flow_frames import Digest, decode_frame
 from balsamtide.protocol.view_frames import PullRequest
@@ -419,3 +424,25 @@
 
 TestDeltas = Deltas.TestCase
 TestDeltas.settings = settings(max_examples=150, stateful_step_count=30)
+
+
+def test_updates_in_quick_succession_are_announced_together():
+    """100 targets that return within a second cause as many digests as 25 would."""
+    gossip = make_gossip(1, make_view(1))
+    gossip.seeds = {2, 3, 4, 5}
+    sent = []
+    now = NOW
+    for number in range(100):
+        now = NOW + 0.01 * number
+        sent += gossip.tick(now)
+        after = gossip.view.changed(
+            revision=11 + number, targets={f"i-{number}": make_target(number + 10)}
+        )
+        sent += gossip.apply_store_view(after, now)
+    last = gossip.deadline
+    assert last <= now + UPDATE_GAP_S
+    sent += gossip.tick(last)
+    digests = [a.frame for a in sent if isinstance(a.frame, Digest)]
+    periodic = 1.2 / DIGEST_PERIOD_S
+    assert len(digests) <= UPDATE_FANOUT * (1.0 / UPDATE_GAP_S + 2) + periodic
+    assert digests[-1].revision == gossip.view.revision
