Offer the requests that wait at a leaving target, however short the queue

At a drained target with requests of 4 ms and an empty queue that estimate is too short, but nothing starts there, so the last keyed POST waited for its deadline of 10 s while its peer reported a free slot, and was told may-have-run. Busy processes made it likelier that a request arrives while the peer seems taken; the load itself was not the cause.

A leaving agent now offers whatever waits.

--- a/src/balsamtide/admission/deadline_admission.py
+++ b/src/balsamtide/admission/deadline_admission.py
@@ -373,7 +373,8 @@
     def _choose_peers(
         self, request: RequestFacts, size: SizeClass, now: float
     ) -> tuple[int, ...]:
-        wait = self._local_wait_s(size, now)
+        # Nothing starts at a leaving target, however short its queue is.
+        wait = float("inf") if self.is_leaving else self._local_wait_s(size, now)
         if size is SizeClass.SHORT and wait < MIN_TRANSFER_WAIT_S:
             return ()
         quotas = self.quotas if size is SizeClass.LONG else None
--- a/tests/test_requests_admission.py
+++ b/tests/test_requests_admission.py
@@ -120,6 +120,20 @@
     assert policy.receive(load_report(2), 0.001) == [Transfer("b", (2,))]
 
 
+def test_leaving_agent_offers_a_request_that_would_wait_a_short_time():
+    """Nothing starts at a leaving target, so even a short queue moves to a peer."""
+    policy = make_admission()
+    policy.arrive(make_request("a"), 0.0)
+    policy.finish("a", Exit.ANSWERED.outcome(status=200, service_time_s=0.004), 0.004)
+    policy.set_leaving(is_leaving=True)
+    policy.receive(load_report(2), 0.01)
+    (transfer,) = policy.arrive(make_request("b"), 0.02)
+    assert isinstance(transfer, Transfer)
+    policy.transfer_failed("b", 0.03)
+    later = [policy.tick(0.03 + 0.01 * step) for step in range(30)]
+    assert [type(decision) for tick in later for decision in tick] == [Transfer]
+
+
 def test_long_work_starts_only_within_its_quota():
     """Long work starts only on targets with a quota and is offered elsewhere."""
     service = make_service()
