--- a/src/balsamtide/flows/flow_agent.py
+++ b/src/balsamtide/flows/flow_agent.py
@@ -193,6 +193,9 @@
             # The flow was opened before this process started.
             flow = LocalFlow(key, 0, now, self._expiry(now), is_open=True)
             self.flows.add(flow)
+        elif not flow.is_sent_by_target(packet):
+            self._count_late()
+            return []
         was_unconfirmed, flow.is_unconfirmed = flow.is_unconfirmed, False
         self.flows.touch(flow, self._expiry(now))
         flow.record_sent(packet.sequence, packet.length)
@@ -233,6 +236,9 @@
         flow = self.flows.get(key, now)
         if flow is not None and flow.is_unconfirmed:
             return self._handle_returned_unconfirmed(packet, flow, now)
+        if flow is not None and not flow.is_sent_by_client(packet):
+            self._count_late()
+            return []
         self.report(FLOW_RETURNED, key, now, is_opening=packet.is_opening)
         if packet.is_opening:
             return self._handle_returned_syn(packet, now)
@@ -244,6 +250,10 @@
             return [ToClient(packet.source[0], self.packets.reset(packet))]
         return []
 
+    def _count_late(self) -> None:
+        """Count a packet of an earlier flow whose client uses its port again."""
+        self.sink.count(FLOW_DECISIONS, outcome="late-packet")
+
     def _handle_returned_unconfirmed(
         self, packet: FlowPacket, flow: LocalFlow, now: float
     ) -> list[Action]:
--- a/src/balsamtide/flows/local_flows.py
+++ b/src/balsamtide/flows/local_flows.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-from balsamtide.flows.packet import SEQUENCE_MODULUS, sequence_distance
+from balsamtide.flows.packet import SEQUENCE_MODULUS, FlowPacket, sequence_distance
 
 __all__ = ["LocalFlow", "LocalFlows"]
 
@@ -17,6 +17,8 @@
 MAX_REQUEST_S = 10.0
 # SYN and FIN each consume one sequence number.
 CONTROL_SEQUENCE_NUMBERS = 2
+# Bytes that an end may send before they are acknowledged: 16 full packets.
+SEND_WINDOW_BYTES = 16 * 1200
 # Weight of one request in the moving average of the service time.
 SERVICE_TIME_GAIN = 0.1
 
@@ -89,6 +91,25 @@
         distance = sequence_distance(acknowledgement, self.target_isn)
         return distance <= self.target_end + CONTROL_SEQUENCE_NUMBERS
 
+    def is_sent_by_target(self, packet: FlowPacket) -> bool:
+        """Whether a packet of the target belongs to this flow.
+
+        A client may use its port again, so that packets of an earlier flow with the
+        same key can be late.
+        """
+        if self.target_isn is None:
+            return True
+        if packet.is_syn:
+            return not self.is_open or packet.sequence == self.target_isn
+        distance = sequence_distance(packet.sequence, self.target_isn)
+        return distance <= self.target_end + SEND_WINDOW_BYTES
+
+    def is_sent_by_client(self, packet: FlowPacket) -> bool:
+        """Whether a packet of the client, such as a returned one, is of this flow."""
+        if packet.is_opening:
+            return self.is_syn_retransmission(packet.sequence)
+        return not packet.is_ack or self.acknowledges_target(packet.acknowledgement)
+
     def record_received(self, sequence: int, length: int) -> bool:
         """Record data of the client; return whether any of it is new."""
         end = (sequence + length) % SEQUENCE_MODULUS
