--- a/review/harness.py
+++ b/review/harness.py
@@ -475,6 +475,8 @@
         self.id = f"i-{random.getrandbits(40):010x}"
         self.born = int(time.time() * 1000)
         self.state = "ready"
+        # Time that a request takes.
+        self.work_s = 0.0
         self.flows: dict[tuple[int, int, int, int], ServerFlow] = {}
         self.sequence = 0
         self.opened = 0
@@ -497,6 +499,19 @@
         self.sequence += 1
         self.world.store.put(f"servers/{self.id}", json.dumps(self.entry()).encode())
 
+    def drain(self) -> float:
+        """Report that this server drains; return the time of the acknowledgement."""
+        self.state = "draining"
+        self.register()
+        self.world.record.write(f"server {self.id}: draining, acknowledged")
+        return self.world.record.now()
+
+    def leave(self) -> None:
+        """End and remove the entry in the store."""
+        self.world.record.write(f"server {self.id}: leaves")
+        self.transport.close()
+        self.world.store.remove(f"servers/{self.id}")
+
     def entry(self) -> dict[str, Any]:
         """Return the entry in the store."""
         return {
@@ -603,6 +618,16 @@
         self.world.record.write(
             f"server {self.id} ({self.service}): runs {request} ({lines[0]})"
         )
+        is_last = "Connection: close" in lines or self.state == "draining"
+        loop = asyncio.get_running_loop()
+        loop.call_later(self.work_s, self._finish, request, packet, flow, is_last)
+
+    def _finish(
+        self, request: str, packet: Packet, flow: ServerFlow, is_last: bool
+    ) -> None:
+        if self.transport.is_closing():
+            self.world.record.write(f"server {self.id}: left before it answered")
+            return
         body = f"{request} {self.service} {self.id}".encode()
         seal = crc32(body)
         head = (
@@ -610,7 +635,7 @@
             f"X-Response-Seal: {seal}\r\n\r\n"
         ).encode()
         self._post(flow, packet, ACK, head + body, len(head + body))
-        if "Connection: close" in lines:
+        if is_last and not flow.has_sent_fin:
             flow.has_sent_fin = True
             self._post(flow, packet, FIN | ACK, b"", 1)
 
