--- a/review/harness.py
+++ b/review/harness.py
@@ -1052,6 +1052,10 @@
     record = Record(Path(folder) / "record.txt")
 
     async def run() -> int:
+        # A runner that loses patience must not leave daemons behind.
+        task = asyncio.current_task()
+        if task is not None:
+            asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         with tempfile.TemporaryDirectory() as temporary:
             world = World(record, Path(temporary))
             try:
@@ -1060,6 +1064,9 @@
             except CannotRunError as error:
                 record.write(f"could not run: {error}")
                 return NOT_RUN
+            except asyncio.CancelledError:
+                record.write("could not run: ended by a signal")
+                return NOT_RUN
             except Exception:
                 record.write(f"could not run: {traceback.format_exc()}")
                 return NOT_RUN
