Reject documents with numbers out of range

Cause: decode_target checked types only. An integer of JSON has no limit; its division by 1000 raised OverflowError, which is no DocumentError, so that nobody rejected the record and the reader's process ended.

Evidence: 272 tracebacks in the daemons' logs, all with that error. Ruled out: the store's answer (the record is valid JSON in valid base64) and the size of the record (600 bytes).

Same cause elsewhere: ports of thousands of digits, durations, capacity, born and the version of the configuration, infinities and NaN, and numbers in an update of a peer (OverflowError, RecursionError).

Conclusion: the range of a number belongs to the format, like its type.

--- a/src/balsamtide/fleet/view_codec.py
+++ b/src/balsamtide/fleet/view_codec.py
@@ -21,6 +21,16 @@
 
 # The store holds at most 1 MB of configuration; the rest is for 65,000 targets.
 MAX_UPDATE_BYTES = 16_000_000
+# Raised by the decoding of an update that a peer of another version may send.
+UNUSABLE_ERRORS = (
+    IndexError,
+    KeyError,
+    OverflowError,
+    RecursionError,
+    TypeError,
+    ValueError,
+    ZlibError,
+)
 
 
 class ViewDecodeError(ValueError):
@@ -114,7 +124,7 @@
             configuration=_configuration(document["configuration"]),
             targets=targets,
         )
-    except (ValueError, TypeError, KeyError, IndexError, ZlibError) as error:
+    except UNUSABLE_ERRORS as error:
         raise ViewDecodeError(f"{type(error).__name__}: {error}") from error
 
 
--- a/src/balsamtide/platform/documents.py
+++ b/src/balsamtide/platform/documents.py
@@ -24,6 +24,10 @@
 TARGET_PREFIX = "servers/"
 TARGET_STATES = {"ready": TargetState.READY, "draining": TargetState.DRAINING}
 MAX_PORT = 65535
+# Frames between processes hold signed integers of 64 bits.
+MAX_INTEGER = 2**63 - 1
+# Milliseconds; a floating-point number holds them and their sum with a local time.
+MAX_DURATION_MS = 2**53
 
 
 class DocumentError(ValueError):
@@ -40,6 +44,39 @@
     return value
 
 
+def _number(
+    document: Mapping[str, Any],
+    name: str,
+    types: type | tuple,
+    *,
+    minimum: int,
+    maximum: int,
+) -> Any:
+    value = _field(document, name, types)
+    # False for NaN as well, which `loads` accepts.
+    if not minimum <= value <= maximum:
+        raise DocumentError(
+            f"field {name!r} is not between {minimum} and {maximum}: {value!r:.40}"
+        )
+    return value
+
+
+def _integer(
+    document: Mapping[str, Any], name: str, *, minimum: int = -MAX_INTEGER
+) -> int:
+    return _number(document, name, int, minimum=minimum, maximum=MAX_INTEGER)
+
+
+def _duration_s(
+    document: Mapping[str, Any], name: str, *, minimum_ms: int = 0
+) -> float:
+    """Return a duration in seconds that the document states in milliseconds."""
+    milliseconds = _number(
+        document, name, (int, float), minimum=minimum_ms, maximum=MAX_DURATION_MS
+    )
+    return milliseconds / 1000
+
+
 def _parse_object(data: bytes) -> dict[str, Any]:
     try:
         document = loads(data)
@@ -58,7 +95,10 @@
 
 
 def _parse_port(text: str) -> int:
-    if not text.isascii() or not text.isdigit() or not 0 < int(text) <= MAX_PORT:
+    # The length is checked before `int`, which refuses thousands of digits.
+    is_short = len(text) <= len(str(MAX_PORT))
+    is_number = is_short and text.isascii() and text.isdigit()
+    if not is_number or not 0 < int(text) <= MAX_PORT:
         raise DocumentError(f"{text!r:.40} is not a port")
     return int(text)
 
@@ -69,7 +109,8 @@
     Raises
     ------
     DocumentError
-        If a field is missing, or has the wrong type or an unknown value.
+        If a field is missing, or has the wrong type, an unknown value or a number out
+        of range.
     """
     document = _parse_object(data)
     host, _, port = _field(document, "address", str).rpartition(":")
@@ -79,22 +120,20 @@
     # Software version and write counter of the target are not used.  They are checked
     # since a record without them does not match the platform's format.
     _field(document, "version", str)
-    _field(document, "sequence", int)
-    warmup_ms = _field(document, "warmupLeftMs", (int, float))
-    started_ms = _field(document, "born", int) if "born" in document else 0
-    capacity = _field(document, "capacity", int)
-    if capacity < 1:
-        raise DocumentError(f"capacity {capacity} is below 1")
+    _integer(document, "sequence")
+    # A target that became warm since it wrote the record may report a negative time.
+    warmup_s = _duration_s(document, "warmupLeftMs", minimum_ms=-MAX_DURATION_MS)
+    started_ms = _integer(document, "born", minimum=0) if "born" in document else 0
     return FlowTarget(
         name=name,
         service=_field(document, "service", str),
         host=_parse_host(host),
         port=_parse_port(port),
         zone=_field(document, "zone", str),
-        capacity=capacity,
+        capacity=_integer(document, "capacity", minimum=1),
         state=state,
         # Local time at which the warm-up ends.
-        warm_at=now + max(0.0, warmup_ms) / 1000,
+        warm_at=now + max(0.0, warmup_s),
         started_ms=started_ms,
     )
 
@@ -112,10 +151,10 @@
     services = frozenset(_decode_items(document, "services", _decode_service_name))
     limits = _field(document, "limits", dict)
     return FlowConfiguration(
-        version=_field(document, "version", int),
+        version=_integer(document, "version", minimum=0),
         routes=routes,
         services=services,
-        idle_timeout_s=_field(limits, "idleTimeoutMs", (int, float)) / 1000,
+        idle_timeout_s=_duration_s(limits, "idleTimeoutMs"),
     )
 
 
@@ -139,9 +178,9 @@
     route = FlowRoute(
         name=_field(document, "name", str),
         shares=_decode_shares(document),
-        timeout_s=_field(document, "timeoutMs", (int, float)) / 1000,
-        objective_s=_field(document, "goalMs", (int, float)) / 1000,
-        priority=_field(document, "priority", int),
+        timeout_s=_duration_s(document, "timeoutMs"),
+        objective_s=_duration_s(document, "goalMs"),
+        priority=_integer(document, "priority"),
     )
     return (host, port), route
 
@@ -152,7 +191,7 @@
     shares = _decode_items(
         document,
         "backends",
-        lambda item: (_field(item, "service", str), _field(item, "weight", int)),
+        lambda item: (_field(item, "service", str), _integer(item, "weight")),
     )
     shares = [share for share in shares if share[1] > 0]
     if not shares:
--- a/tests/test_flow_node.py
+++ b/tests/test_flow_node.py
@@ -329,6 +329,11 @@
             sleep(0.05)
         raise AssertionError(f"no response within {START_TIMEOUT_S} s")
 
+    def has_logged(self, name):
+        """Return whether a process has logged an event."""
+        text = f'"name":"{name}"'
+        return any(text in log.read_text() for log in self.folder.glob("*.log"))
+
     def stop(self, host):
         """Stop a process with SIGTERM and return its exit code."""
         process = self.processes.pop(host)
@@ -394,6 +399,19 @@
     assert "balsamtide_flow_packets_total" in get_when_listening(metrics).text
 
 
+@pytest.mark.processes
+def test_daemons_outlive_a_record_with_a_number_too_large(fleet):
+    """A record of another writer, whose number no duration holds, ends no process."""
+    record = target_document("127.0.2.9", fleet.ports, SERVICE)
+    fleet.store.put("servers/odd", record | {"warmupLeftMs": 10**400})
+    until = monotonic() + START_TIMEOUT_S
+    while not fleet.has_logged("document-rejected"):
+        assert monotonic() < until, "no process rejected the record"
+        sleep(0.05)
+    assert [fleet.call() for _ in range(10)] == [b"answer"] * 10
+    assert [process.poll() for process in fleet.processes.values()] == [None] * 3
+
+
 @pytest.mark.processes
 def test_killed_balancer_recovers_while_the_store_is_down(fleet):
     """With the store down, a restarted balancer pulls the view from its peers."""
--- a/tests/test_flow_platform.py
+++ b/tests/test_flow_platform.py
@@ -1,7 +1,6 @@
 """Tests of the platform's packets, documents, settings and store client."""
 
-from base64 import b64encode
-from json import dumps, loads
+from json import loads
 
 import pytest
 from hypothesis import given
@@ -14,7 +13,6 @@
     TargetChange,
 )
 from balsamtide.fleet.view import TargetState
-from balsamtide.flow_node.http import BaseHttpClient, HttpResponse
 from balsamtide.flow_node.settings import FlowRole, FlowSettingsError
 from balsamtide.flows.packet import FlowPacketError, format_key
 from balsamtide.platform.documents import (
@@ -24,7 +22,15 @@
 )
 from balsamtide.platform.packets import HEADER_BYTES, MAX_DATA_BYTES, WirePackets
 from balsamtide.platform.settings import decode_settings
-from balsamtide.platform.store import PlatformStore
+from tests.fakes_platform import (
+    CONFIGURATION,
+    ROUTE,
+    TARGET,
+    item,
+    make_store,
+    run_to_end,
+    to_json,
+)
 
 PACKETS = WirePackets()
 SYN_PACKET = bytes.fromhex(
@@ -33,34 +39,6 @@
 RESET_PACKET = bytes.fromhex(
     "000000000000000001010012c6419cbb010700406400000000000000000000"
 )
-TARGET = {
-    "service": "orders",
-    "address": "10.128.0.9:8080",
-    "zone": "z1",
-    "version": "v1",
-    "capacity": 2,
-    "state": "ready",
-    "warmupLeftMs": 1500,
-    "sequence": 4,
-    "born": 1_700_000_000_000,
-}
-ROUTE = {
-    "name": "r-1",
-    "host": "198.18.0.1",
-    "prefix": "/8443/",
-    "type": "idempotent",
-    "timeoutMs": 500,
-    "goalMs": 100,
-    "priority": 2,
-    "service": "orders",
-    "maxAttempts": 2,
-}
-CONFIGURATION = {
-    "version": 7,
-    "routes": [ROUTE],
-    "services": [{"name": "orders", "healthPath": "/health", "maxConns": 2000}],
-    "limits": {"idleTimeoutMs": 15000},
-}
 SETTINGS = {
     "nodeId": "front-1",
     "servedRoles": ["front", "control"],
@@ -79,11 +57,6 @@
 }
 
 
-def to_json(document: object) -> bytes:
-    """Return a document as the JSON bytes that the store holds."""
-    return dumps(document).encode()
-
-
 def test_published_syn_decodes():
     """The example SYN of the platform decodes and yields the example reset."""
     packet = PACKETS.decode(SYN_PACKET)
@@ -262,46 +235,6 @@
     assert len(caught.value.problems) == problems
 
 
-class ScriptedHttpClient(BaseHttpClient):
-    """HTTP client that returns scripted responses."""
-
-    def __init__(self, *responses: tuple[int, object]) -> None:
-        self.responses = list(responses)
-        self.paths: list[str] = []
-
-    async def get(self, path: str, *, wait_s: float = 0.0) -> HttpResponse:
-        """Return the next response."""
-        self.paths.append(path)
-        status, document = self.responses.pop(0)
-        body = document if isinstance(document, bytes) else to_json(document)
-        return HttpResponse(status, body)
-
-
-def run_to_end(call):
-    """Run a coroutine that never suspends, and return its result."""
-    try:
-        call.send(None)
-    except StopIteration as end:
-        return end.value
-    raise AssertionError("the coroutine suspended")
-
-
-def item(key: str, value: object, **fields: object) -> dict[str, object]:
-    """Return an item of the store."""
-    return {"key": key, "value": b64encode(to_json(value)).decode(), "rev": 3} | fields
-
-
-def make_store(*responses: tuple[int, object]) -> tuple[PlatformStore, list]:
-    """Return a store with scripted responses, and the list of rejected keys."""
-    rejected: list[str] = []
-    store = PlatformStore(
-        ScriptedHttpClient(*responses),
-        watch_s=1.0,
-        on_reject=lambda key, reason: rejected.append(key),
-    )
-    return store, rejected
-
-
 def test_listing_joins_pages_and_skips_invalid_records():
     """A listing has the valid targets of all pages and the first call's revision."""
     store, rejected = make_store(
--- /dev/null
+++ b/tests/test_foreign_records.py
@@ -0,0 +1,171 @@
+"""Tests of odd records that another writer leaves among those of the targets."""
+
+from json import dumps
+from zlib import compress
+
+import pytest
+from hypothesis import example, given
+from hypothesis import strategies as st
+
+from balsamtide.fleet.change_log import ChangeLog
+from balsamtide.fleet.merge import with_listing, with_update
+from balsamtide.fleet.store import Listing
+from balsamtide.fleet.view import FleetView, FlowTarget
+from balsamtide.fleet.view_codec import ViewDecodeError, decode_update, encode_update
+from balsamtide.flows.placement import LeastLoadedPlacement
+from balsamtide.platform.documents import (
+    DocumentError,
+    decode_configuration,
+    decode_target,
+)
+from balsamtide.protocol.flow_frames import service_tag
+from tests.fakes_platform import (
+    CONFIGURATION,
+    ROUTE,
+    TARGET,
+    item,
+    make_store,
+    raw_item,
+    run_to_end,
+    to_json,
+)
+
+NOW = 100.0
+KEY = b"123456789012"
+# More digits than a floating-point number can hold, and than `int` converts.
+TOO_LARGE, TOO_LONG = "9" * 400, "9" * 5000
+DEEPLY_NESTED = b"[" * 200_000 + b"]" * 200_000
+
+
+def with_number(field: str, number: str) -> bytes:
+    """Return a target's record with a number that is inserted as text."""
+    return to_json(TARGET | {field: "NUMBER"}).replace(b'"NUMBER"', number.encode())
+
+
+ODD_RECORDS = {
+    **{
+        f"{field}-{name}": with_number(field, number)
+        for field in ("warmupLeftMs", "capacity", "born", "sequence")
+        for name, number in {
+            "too-large": TOO_LARGE,
+            "too-long": TOO_LONG,
+            "infinite": "1e999",
+            "nan": "NaN",
+        }.items()
+    },
+    "born-negative": with_number("born", "-1"),
+    "port-0": to_json(TARGET | {"address": "10.128.0.9:0"}),
+    "port-65536": to_json(TARGET | {"address": "10.128.0.9:65536"}),
+    "port-too-long": to_json(TARGET | {"address": f"10.128.0.9:{TOO_LONG}"}),
+    "nested": DEEPLY_NESTED,
+    "nested-field": to_json(TARGET)[:-1] + b',"x":' + DEEPLY_NESTED + b"}",
+    "nested-state": to_json(TARGET | {"state": [[["ready"]]]}),
+}
+
+
+@pytest.mark.parametrize("record", ODD_RECORDS.values(), ids=ODD_RECORDS)
+def test_odd_record_names_no_target_and_the_others_hold(record):
+    """An odd record is rejected in a listing and in a watch, without other effects."""
+    items = [raw_item("servers/odd", record), item("servers/good", TARGET)]
+    store, rejected = make_store(
+        (200, item("op/config", CONFIGURATION, storeRevision=9)),
+        (200, {"items": items, "morePages": False, "storeRevision": 9}),
+        (200, {"events": items, "storeRevision": 10}),
+    )
+    listing = run_to_end(store.read_all())
+    assert [target.name for target in listing.targets] == ["good"]
+    odd, good = run_to_end(store.watch(9)).changes
+    assert odd.target is None
+    assert good.target is not None
+    assert rejected == ["servers/odd"] * 2
+
+
+@pytest.mark.parametrize(
+    "document",
+    [
+        to_json(CONFIGURATION | {"routes": [ROUTE | {"prefix": f"/{TOO_LONG}/"}]}),
+        *(
+            to_json(CONFIGURATION).replace(b": %d" % number, b": " + odd.encode())
+            for number in (CONFIGURATION["version"], 15000, ROUTE["timeoutMs"])
+            for odd in (TOO_LARGE, TOO_LONG, "1e999", "NaN", "-1")
+        ),
+    ],
+    ids=lambda document: document.decode()[-60:],
+)
+def test_odd_configuration_is_rejected(document):
+    """A configuration with a value out of range is rejected as a whole."""
+    with pytest.raises(DocumentError):
+        decode_configuration(document)
+
+
+def carry_through(target: FlowTarget) -> None:
+    """Use a target as a process does: view, update of a peer, choice of a target."""
+    view = with_listing(
+        FleetView(),
+        Listing(9, decode_configuration(to_json(CONFIGURATION)), (target,)),
+        grace_until=NOW,
+        now=NOW,
+    )
+    update = ChangeLog().update_for(view, -1, -1)
+    data = encode_update(update, now=NOW)
+    received = with_update(FleetView(), decode_update(data, encoded_at=NOW), NOW)
+    assert received.content_tag == view.content_tag
+    chosen = LeastLoadedPlacement(zone="z", random=None)
+    for eligible in received.eligible(target.service, NOW):
+        chosen.record_placement(eligible, NOW)
+    received.homes(target.service, KEY)
+    service_tag(target.service)
+    dumps(target.name).encode()
+
+
+json_values = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats()
+    | st.text(max_size=12)
+    | st.sampled_from(["10.0.0.1:80", "10.0.0.1:99999", 10**400, -(10**400)]),
+    lambda inner: st.lists(inner, max_size=3),
+    max_leaves=4,
+)
+
+
+@given(st.sampled_from([*TARGET, "other"]), json_values)
+@example("warmupLeftMs", 10**400)
+@example("capacity", 10**300)
+def test_record_that_decodes_can_be_used(field, value):
+    """A record with any value in a field is rejected or used like any other."""
+    try:
+        target = decode_target("i-1", to_json(TARGET | {field: value}), now=NOW)
+    except DocumentError:
+        return
+    carry_through(target)
+
+
+@pytest.mark.parametrize(
+    "row",
+    [
+        ["i-1", "orders", 1, 80, "z", 1, "ready", "COLD", 0, None],
+        ["i-1", "orders", 1, 80, "z", 1, "ready", 0, 0, "COLD"],
+    ],
+    ids=["warm-up", "grace-period"],
+)
+@pytest.mark.parametrize(
+    "number",
+    [TOO_LARGE, TOO_LONG, DEEPLY_NESTED.decode()],
+    ids=["large", "long", "deep"],
+)
+def test_odd_number_in_an_update_of_a_peer_is_rejected(row, number):
+    """A peer of another version that accepted an odd record ends no process."""
+    document = {
+        "base": -1,
+        "revision": 9,
+        "tag": 0,
+        "settles_s": 0.0,
+        "configuration": None,
+        "targets": [row],
+        "removed": [],
+    }
+    text = dumps(document).replace('"COLD"', number)
+    with pytest.raises(ViewDecodeError):
+        decode_update(compress(text.encode()), encoded_at=NOW)
