Keep open flows that are idle longer than an earlier timeout

Cause: the time of expiry was stored with a flow when a packet passed, by the timeout of that moment. The agent removed the flow after 15 s, took its table for complete and denied the flow for certain; the balancer reset it. An expired record is no proof that the target has none.

Evidence: flow-found unknown and flow-lost for all six flows, and view-changed with the new version 18 s before. Ruled out: a late configuration (it was in force everywhere) and the balancers' cache (a flow that is not in it is searched, and only the agents' denials reset).

Change: the time of the latest packet is stored and the timeout in force is added when it is checked. An agent keeps an open flow, not closed by both ends, for the lifetime of a flow; this also holds if it learns of the longer timeout too late.

Before: 4 of 7 rows of the new table for agents and both rows for the cache failed.

--- a/bench/slope_groups/raw_packets.py
+++ b/bench/slope_groups/raw_packets.py
@@ -97,7 +97,9 @@
     flows = LocalFlows()
     for number in range(count):
         key = number.to_bytes(12, "big")
-        flows.add(LocalFlow(key, 1 << 30, START + number, START + number))
+        flows.add(
+            LocalFlow(key, 1 << 30, START + number, START + number, START + number)
+        )
     return flows
 
 
--- a/src/balsamtide/flows/agent_state.py
+++ b/src/balsamtide/flows/agent_state.py
@@ -2,11 +2,12 @@
 
 from dataclasses import dataclass
 from math import inf
+from typing import Any
 
 from balsamtide.fleet.view import FlowTarget
 from balsamtide.fleet.view_gossip import ViewGossip
 from balsamtide.flows.flow_queue import FlowQueue, QueueOrder
-from balsamtide.flows.local_flows import LocalFlows
+from balsamtide.flows.local_flows import LocalFlow, LocalFlows
 from balsamtide.flows.metrics import PACKETS
 from balsamtide.flows.packet import PacketCodec
 from balsamtide.flows.processor import FlowProcessor
@@ -112,6 +113,7 @@
         self.last_packet_at = -inf
         self.is_stopping = False
         self.next_return_at = -inf
+        self.flow_lifetime_s = flow_lifetime_s
         # Until then the target may have flows older than this process.
         self.table_complete_at = now + flow_lifetime_s
         self.next_sweep_at = now
@@ -189,8 +191,23 @@
         ]
         return INITIAL_SERVICE_TIME_RATIO * min(objectives, default=0.0)
 
-    def _expiry(self, now: float) -> float:
-        return now + self.view.configuration.idle_timeout_s
+    def _known_flow(self, key: bytes, now: float) -> LocalFlow | None:
+        return self.flows.get(key, now, self.idle_timeout_s)
+
+    def _new_flow(
+        self, key: bytes, last_balancer: int, now: float, **fields: Any
+    ) -> LocalFlow:
+        """Add a flow to the table and return it."""
+        flow = LocalFlow(
+            key,
+            last_balancer,
+            delivered_at=now,
+            last_packet_at=now,
+            kept_until=now + self.flow_lifetime_s,
+            **fields,
+        )
+        self.flows.add(flow)
+        return flow
 
     def _send_to_target(self, raw: bytes) -> Action:
         self.sink.count(PACKETS, direction="to-target")
--- a/src/balsamtide/flows/flow_agent.py
+++ b/src/balsamtide/flows/flow_agent.py
@@ -91,7 +91,7 @@
         return self._handle_packet(packet, carry, now)
 
     def _handle_locate(self, locate: Locate, source: int, now: float) -> list[Action]:
-        flow = self.flows.get(locate.key, now)
+        flow = self._known_flow(locate.key, now)
         ownership = Ownership.NO
         if flow is not None and not flow.is_unconfirmed:
             if flow.acknowledges_target(locate.acknowledgement):
@@ -113,15 +113,16 @@
         self, packet: FlowPacket, carry: Carry, now: float
     ) -> list[Action]:
         key = packet.client_key
-        flow = self.flows.get(key, now)
+        flow = self._known_flow(key, now)
         if flow is None:
             return self._handle_unknown(packet, carry, now)
         if packet.is_ack and not flow.acknowledges_target(packet.acknowledgement):
             return self._disown(packet, carry, DisownReason.OTHER_HANDSHAKE, now)
         flow.last_balancer = carry.origin
-        self.flows.touch(flow, self._expiry(now))
+        self.flows.touch(flow, now)
         if flow.target_isn is not None:
             flow.is_open = True
+        flow.has_client_fin = flow.has_client_fin or packet.is_fin
         if packet.is_reset:
             self.flows.drop(key)
         elif packet.length and flow.record_received(packet.sequence, packet.length):
@@ -146,15 +147,13 @@
             return [SendFrame(forwarded.host, carry)]
         if self._is_known_absent(key, now) or carry.service != self.service_tag:
             return self._disown(packet, carry, DisownReason.NOT_HERE, now)
-        flow = LocalFlow(
+        self._new_flow(
             key,
             carry.origin,
             now,
-            self._expiry(now),
             is_unconfirmed=True,
             is_sent_tentatively=carry.is_tentative,
         )
-        self.flows.add(flow)
         return [self._send_to_target(packet.raw)]
 
     # Packets of the target
@@ -188,17 +187,20 @@
         packet of its client gets it.
         """
         key = packet.target_key
-        flow = self.flows.get(key, now)
+        flow = self._known_flow(key, now)
         if flow is None:
             # The flow was opened before this process started.
-            flow = LocalFlow(key, 0, now, self._expiry(now), is_open=True)
-            self.flows.add(flow)
+            flow = self._new_flow(key, 0, now, is_open=True)
         elif not flow.is_sent_by_target(packet):
             self._count_late()
             return []
         was_unconfirmed, flow.is_unconfirmed = flow.is_unconfirmed, False
-        self.flows.touch(flow, self._expiry(now))
+        if was_unconfirmed and not packet.is_syn:
+            # The target knows the flow, and no handshake passed this process.
+            flow.is_open = True
+        self.flows.touch(flow, now)
         flow.record_sent(packet.sequence, packet.length)
+        flow.has_target_fin = flow.has_target_fin or packet.is_fin
         if packet.is_syn:
             self._handle_syn_ack(flow, packet, now)
         elif packet.length or packet.is_fin:
@@ -233,7 +235,7 @@
 
     def _handle_returned(self, packet: FlowPacket, now: float) -> list[Action]:
         key = packet.client_key
-        flow = self.flows.get(key, now)
+        flow = self._known_flow(key, now)
         if flow is not None and flow.is_unconfirmed:
             return self._handle_returned_unconfirmed(packet, flow, now)
         if flow is not None and not flow.is_sent_by_client(packet):
@@ -301,7 +303,7 @@
             self.next_queue_check_at = now + QUEUE_CHECK_PERIOD_S if self.queue else inf
         if self.next_sweep_at <= now:
             self.next_sweep_at = now + SWEEP_PERIOD_S
-            self.flows.expire(now)
+            self.flows.expire(now, self.idle_timeout_s)
             self.forwarded = {
                 key: forwarded
                 for key, forwarded in self.forwarded.items()
--- a/src/balsamtide/flows/flow_balancer.py
+++ b/src/balsamtide/flows/flow_balancer.py
@@ -145,7 +145,7 @@
 
     def _handle_syn(self, packet: FlowPacket, now: float) -> list[Action]:
         key = packet.client_key
-        known = self.flows.get(key, now, self.view.configuration.idle_timeout_s)
+        known = self.flows.get(key, now, self.idle_timeout_s)
         if known is not None and self._is_agent_responsive(known, now):
             # The agent confirms retransmissions too, so that its failure is detected.
             self.pending_flows.setdefault(
@@ -176,11 +176,7 @@
             return self._defer_or_refuse(packet, now)
         target = self.placement.choose(key, candidates, now)
         self.placement.record_placement(target, now)
-        flow = CachedFlow(
-            target.host,
-            service_tag(service),
-            now + self.view.configuration.idle_timeout_s,
-        )
+        flow = CachedFlow(target.host, service_tag(service), now)
         self.flows.put(key, flow)
         self.pending_flows[key] = self._pending_flow(
             packet, target.host, tried, started_at, now
@@ -275,7 +271,7 @@
             return self._finish_found(
                 frame.key, source, now, is_first_sent=search.was_sent_tentatively
             )
-        flow = self.flows.get(frame.key, now, self.view.configuration.idle_timeout_s)
+        flow = self.flows.get(frame.key, now, self.idle_timeout_s)
         if flow is None:
             return []
         if pending is not None or not flow.is_confirmed:
@@ -300,7 +296,7 @@
             self.sink.count(PACKETS_REJECTED, kind="packet")
             return []
         key = packet.client_key
-        flow = self.flows.get(key, now, self.view.configuration.idle_timeout_s)
+        flow = self.flows.get(key, now, self.idle_timeout_s)
         if flow is not None and flow.host == source:
             self.flows.drop(key)
         if packet.is_opening:
@@ -362,7 +358,7 @@
             actions += self._end_round(key, now)
         if self.next_sweep_at <= now:
             self.next_sweep_at = now + SWEEP_PERIOD_S
-            self.flows.expire(now)
+            self.flows.expire(now, self.idle_timeout_s)
             self.sink.gauge(FLOWS, len(self.flows))
         return actions
 
--- a/src/balsamtide/flows/flow_cache.py
+++ b/src/balsamtide/flows/flow_cache.py
@@ -18,15 +18,16 @@
         IPv4 address of the agent's instance, as a number.
     service_tag : int
         Tag of the flow's service.
-    expires_at : float
-        Local time at which an idle flow is removed.
+    last_packet_at : float
+        Local time of its latest packet.  The idle timeout is added when it is checked,
+        since a new configuration changes it for flows that are idle already.
     is_confirmed : bool
         Whether the agent confirmed that it has the flow.
     """
 
     host: int
     service_tag: int
-    expires_at: float
+    last_packet_at: float
     is_confirmed: bool = False
 
 
@@ -49,9 +50,9 @@
     def get(self, key: bytes, now: float, idle_timeout_s: float) -> CachedFlow | None:
         """Return a flow and restart its idle timeout."""
         flow = self.flows.pop(key, None)
-        if flow is None or flow.expires_at <= now:
+        if flow is None or flow.last_packet_at + idle_timeout_s <= now:
             return None
-        flow.expires_at = now + idle_timeout_s
+        flow.last_packet_at = now
         self.flows[key] = flow
         return flow
 
@@ -66,13 +67,12 @@
         """Remove a flow if it is there."""
         self.flows.pop(key, None)
 
-    def expire(self, now: float) -> None:
+    def expire(self, now: float, idle_timeout_s: float) -> None:
         """Remove the flows whose idle timeout has passed."""
         expired = []
         for key, flow in self.flows.items():
-            if flow.expires_at > now:
-                # Flows are ordered by last use, and so by expiry unless the idle
-                # timeout was changed; the others are removed later.
+            if flow.last_packet_at + idle_timeout_s > now:
+                # Flows are ordered by last use, so that no later one is idle.
                 break
             expired.append(key)
         for key in expired:
--- a/src/balsamtide/flows/local_flows.py
+++ b/src/balsamtide/flows/local_flows.py
@@ -36,8 +36,10 @@
     delivered_at : float
         Local time at which its SYN was delivered, or at which a flow without an
         observed SYN was first seen.
-    expires_at : float
-        Local time at which an idle flow is removed.
+    last_packet_at : float
+        Local time of its latest packet in either direction.
+    kept_until : float
+        Local time before which it is kept while it is open, however long it is idle.
     client_isn : int or None
         Initial sequence number of the client, None if the SYN was not seen.
     target_isn : int or None
@@ -48,6 +50,8 @@
         Next sequence number expected from the client, None before the first data.
     is_open : bool
         Whether the client completed the handshake.
+    has_client_fin, has_target_fin : bool
+        Whether this end has closed the flow.
     is_unconfirmed : bool
         Whether it is unknown if the target has the flow.
     is_sent_tentatively : bool
@@ -64,18 +68,36 @@
     key: bytes
     last_balancer: int
     delivered_at: float
-    expires_at: float
+    last_packet_at: float
+    kept_until: float
     client_isn: int | None = None
     target_isn: int | None = None
     target_end: int = 0
     next_sequence: int | None = None
     is_open: bool = False
+    has_client_fin: bool = False
+    has_target_fin: bool = False
     is_unconfirmed: bool = False
     is_sent_tentatively: bool = False
     busy_until: float = 0.0
     request_received_at: float = 0.0
     busy_before: int = 0
 
+    @property
+    def may_be_in_use(self) -> bool:
+        """Whether it was opened and at least one end has not closed it."""
+        return self.is_open and not (self.has_client_fin and self.has_target_fin)
+
+    def is_expired(self, now: float, idle_timeout_s: float) -> bool:
+        """Whether the target may have removed this flow as well.
+
+        The idle timeout alone is no proof: another process, and the operator, may
+        already know a longer one.
+        """
+        if now < self.last_packet_at + idle_timeout_s:
+            return False
+        return now >= self.kept_until or not self.may_be_in_use
+
     def is_syn_retransmission(self, sequence: int) -> bool:
         """Whether a SYN with this sequence number retransmits this flow's SYN."""
         return self.client_isn in (None, sequence)
@@ -138,10 +160,10 @@
     def __len__(self) -> int:
         return len(self.flows)
 
-    def get(self, key: bytes, now: float) -> LocalFlow | None:
+    def get(self, key: bytes, now: float, idle_timeout_s: float) -> LocalFlow | None:
         """Return a flow that has not expired."""
         flow = self.flows.get(key)
-        if flow is not None and flow.expires_at <= now:
+        if flow is not None and flow.is_expired(now, idle_timeout_s):
             self.drop(key)
             return None
         return flow
@@ -158,9 +180,9 @@
         self.flows.pop(key, None)
         self.active.pop(key, None)
 
-    def touch(self, flow: LocalFlow, expires_at: float) -> None:
-        """Extend a flow's expiry and mark it as most recently used."""
-        flow.expires_at = expires_at
+    def touch(self, flow: LocalFlow, now: float) -> None:
+        """Restart a flow's idle timeout and mark it as most recently used."""
+        flow.last_packet_at = now
         self.flows.pop(flow.key, None)
         self.flows[flow.key] = flow
 
@@ -217,15 +239,15 @@
             self.service_time_s = mean_s + SERVICE_TIME_GAIN * (took_s - mean_s)
         return took_s
 
-    def expire(self, now: float) -> None:
-        """Remove the flows whose idle timeout has passed."""
-        for key in list(self._expired(now)):
+    def expire(self, now: float, idle_timeout_s: float) -> None:
+        """Remove the flows that have expired."""
+        for key in list(self._expired(now, idle_timeout_s)):
             self.drop(key)
 
-    def _expired(self, now: float) -> Iterator[bytes]:
+    def _expired(self, now: float, idle_timeout_s: float) -> Iterator[bytes]:
         for key, flow in self.flows.items():
-            if flow.expires_at > now:
-                # Flows are ordered by last use, and so by expiry unless the idle
-                # timeout was changed; the others are removed later.
+            if now < flow.last_packet_at + idle_timeout_s:
+                # Flows are ordered by last use, so that no later one is idle.
                 return
-            yield key
+            if flow.is_expired(now, idle_timeout_s):
+                yield key
--- a/src/balsamtide/flows/new_flows.py
+++ b/src/balsamtide/flows/new_flows.py
@@ -58,7 +58,7 @@
 
     def _handle_syn(self, packet: FlowPacket, carry: Carry, now: float) -> list[Action]:
         key = packet.client_key
-        flow = self.flows.get(key, now)
+        flow = self._known_flow(key, now)
         if flow is not None and flow.is_syn_retransmission(packet.sequence):
             return self._handle_retransmission(packet, carry, flow, now)
         if carry.service != self.service_tag:
@@ -240,14 +240,7 @@
     ) -> list[Action]:
         key = packet.client_key
         busy = self.flows.busy(now)
-        flow = LocalFlow(
-            key,
-            carry.origin,
-            now,
-            self._expiry(now),
-            client_isn=packet.sequence,
-        )
-        self.flows.add(flow)
+        flow = self._new_flow(key, carry.origin, now, client_isn=packet.sequence)
         self.forwarded.pop(key, None)
         self.flows.reserve(flow, now)
         self.pending_handshakes[key] = PendingHandshake(carry, now)
--- a/src/balsamtide/flows/open_flows.py
+++ b/src/balsamtide/flows/open_flows.py
@@ -60,7 +60,7 @@
     def _forward_packet(self, packet: FlowPacket, now: float) -> list[Action]:
         """Forward a packet of an open flow, searching for its agent if unknown."""
         key = packet.client_key
-        flow = self.flows.get(key, now, self.view.configuration.idle_timeout_s)
+        flow = self.flows.get(key, now, self.idle_timeout_s)
         if flow is not None:
             return [self._send_carry(packet, flow)]
         search = self.searches.get(key)
@@ -206,7 +206,7 @@
         flow = CachedFlow(
             host,
             self._service_tag(host),
-            now + self.view.configuration.idle_timeout_s,
+            now,
             is_confirmed=True,
         )
         self.flows.put(key, flow)
--- a/src/balsamtide/flows/processor.py
+++ b/src/balsamtide/flows/processor.py
@@ -66,6 +66,11 @@
         """Routes and targets as known to this process."""
         return self.gossip.view
 
+    @property
+    def idle_timeout_s(self) -> float:
+        """Time without packets after which a flow may be removed, in seconds."""
+        return self.view.configuration.idle_timeout_s
+
     def handle_leaving(self, frame: Leaving, source: int, now: float) -> list[Action]:
         """Record that another process takes no new flows, or takes them again."""
         if frame.lasts_s > 0:
--- a/tests/test_flow_agent.py
+++ b/tests/test_flow_agent.py
@@ -433,6 +433,72 @@
     assert len(of_kind(again, ToTarget)) == (expected is Ownership.MAYBE)
 
 
+LIFETIME_S = 60.0
+
+
+def set_idle_timeout(agent, seconds):
+    """Put a configuration with another idle timeout in force."""
+    configuration = replace(agent.view.configuration, idle_timeout_s=seconds)
+    agent.gossip.view = replace(agent.view, configuration=configuration)
+
+
+def use_once(agent):
+    """Open a flow and send a request on it."""
+    open_flow(agent)
+    agent.receive_frame(carry_frame(DATA), BALANCER, NOW)
+
+
+def use_and_close(agent):
+    """Open a flow, send the last request on it and close it at both ends."""
+    use_once(agent)
+    end = client_packet(ACK | FIN, sequence=520, acknowledgement=TARGET_ISN + 1)
+    agent.receive_frame(carry_frame(end), BALANCER, NOW)
+    agent.receive_from_target(target_packet(ACK | FIN, sequence=TARGET_ISN + 1), NOW)
+
+
+def confirm_tentative(agent):
+    """Let the target answer on a flow whose SYN the agent has not seen."""
+    agent.receive_frame(carry_frame(DATA, is_tentative=True), BALANCER, NOW)
+    agent.receive_from_target(target_packet(ACK, sequence=70, data=30), NOW)
+
+
+@pytest.mark.parametrize(
+    ("use", "raised_at_s", "asked_at_s", "expected"),
+    [
+        (use_once, 2.0, 20.0, Ownership.OWNS),
+        (use_once, 18.0, 20.0, Ownership.OWNS),
+        (use_once, None, 20.0, Ownership.OWNS),
+        (confirm_tentative, 18.0, 20.0, Ownership.OWNS),
+        (use_once, 2.0, LIFETIME_S + 1.0, Ownership.NO),
+        (use_and_close, None, 20.0, Ownership.NO),
+        (open_flow, None, 20.0, Ownership.NO),
+    ],
+    ids=[
+        "raised-in-time",
+        "raised-after-the-old-one",
+        "not-raised",
+        "handshake-not-seen",
+        "older-than-a-flow-may-be",
+        "closed",
+        "never-opened",
+    ],
+)
+def test_idle_flow_is_denied_only_if_its_target_may_have_removed_it(
+    use, raised_at_s, asked_at_s, expected
+):
+    """An idle flow is not denied, and so not reset, while a longer timeout may hold."""
+    agent = make_agent(flow_lifetime_s=LIFETIME_S)
+    agent.table_complete_at = NOW
+    use(agent)
+    for second in range(1, int(asked_at_s)):
+        if raised_at_s == second:
+            set_idle_timeout(agent, 40.0)
+        agent.tick(NOW + second)
+    locate = Locate(KEY, TARGET_ISN + 1)
+    (action,) = agent.receive_frame(locate, BALANCER, NOW + asked_at_s)
+    assert action.frame.ownership is expected
+
+
 def test_flow_opened_after_a_return_is_known():
     """A SYN makes a flow known that the target did not have before."""
     agent = make_agent(flow_lifetime_s=60.0)
@@ -452,7 +518,7 @@
     (action,) = agent.receive_from_target(returned_packet(DATA), NOW)
     # Byte 8 holds the flags.
     assert PACKETS.decode(action.packet).raw[8] == RESET
-    assert agent.flows.get(KEY, NOW) is None
+    assert agent.flows.get(KEY, NOW, 15.0) is None
 
 
 def test_returned_syn_is_forwarded_to_a_peer():
--- a/tests/test_flow_balancer.py
+++ b/tests/test_flow_balancer.py
@@ -336,14 +336,30 @@
     """The least recently used flow is evicted, and idle flows expire."""
     cache = FlowCache(max_flows=2)
     for name in (b"a", b"b"):
-        cache.put(name, CachedFlow(1, 1, NOW + 15))
+        cache.put(name, CachedFlow(1, 1, NOW))
     assert cache.get(b"a", NOW + 5, 15.0) is not None
-    cache.put(b"c", CachedFlow(1, 1, NOW + 20))
+    cache.put(b"c", CachedFlow(1, 1, NOW + 5))
     assert list(cache.flows) == [b"a", b"c"]
-    cache.expire(NOW + 21)
+    cache.expire(NOW + 20, 15.0)
     assert len(cache) == 0
 
 
+@pytest.mark.parametrize(
+    ("before_s", "after_s", "idle_s", "is_kept"),
+    [(15.0, 40.0, 20.0, True), (40.0, 15.0, 20.0, False)],
+    ids=["raised", "lowered"],
+)
+def test_idle_timeout_in_force_decides_about_cached_flows(
+    before_s, after_s, idle_s, is_kept
+):
+    """A new idle timeout holds for the flows that are idle when it comes."""
+    cache = FlowCache()
+    cache.put(b"a", CachedFlow(1, 1, NOW))
+    cache.expire(NOW + 2, before_s)
+    cache.expire(NOW + idle_s, after_s)
+    assert (cache.get(b"a", NOW + idle_s, after_s) is not None) == is_kept
+
+
 def test_reset_ends_the_flow_in_the_clients_window():
     """A reset has the client's acknowledgement as its sequence number."""
     packet = PACKETS.decode(DATA)
