Read from a store that closes its connections

Cause: StartupClient sent its second request on a connection that h11 had marked MUST_CLOSE (LocalProtocolError, caught by nobody). Both clients took a kept connection that had been closed for an outage; a full read needs two requests, so it never succeeded.

Change: the client of the startup closes what cannot be used again; a request on a kept connection that ends before the first byte is repeated once on a new one (RFC 9110, 9.2.2).

Conclusion: a cause of "did not start" that depends on the store's server; whether it is the users' one cannot be told without their logs.

--- a/bench/standins/flow_platform.py
+++ b/bench/standins/flow_platform.py
@@ -48,6 +48,8 @@
         self.revision = 1
         self.calls = 0
         self.is_down = False
+        # Whether each connection is closed after a response, without a word before.
+        self.closes_connections = False
         # Changes up to this revision are forgotten.
         self.compacted = 0
         self.changed = Condition()
@@ -63,6 +65,7 @@
                 self.send_header("Content-Length", str(len(body)))
                 self.end_headers()
                 self.wfile.write(body)
+                self.close_connection = store.closes_connections
 
             def log_message(self, *_: object) -> None:
                 """Log nothing."""
--- a/src/balsamtide/flow_node/http.py
+++ b/src/balsamtide/flow_node/http.py
@@ -1,9 +1,20 @@
-"""Interface of the HTTP clients of the platform's store."""
+"""HTTP clients of the platform's store: interface, and use of one connection."""
 
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
 
-__all__ = ["BaseHttpClient", "HttpResponse"]
+from balsamtide.fleet.store import StoreError
+
+__all__ = [
+    "BaseHttpClient",
+    "ConnectionLostError",
+    "HttpResponse",
+    "PersistentHttpClient",
+]
+
+
+class ConnectionLostError(StoreError):
+    """Raised if a connection ends before the first byte of a response."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,3 +39,38 @@
         StoreError
             If no complete response arrives in time.
         """
+
+
+class PersistentHttpClient(BaseHttpClient):
+    """Keeps a connection open between requests as long as the server allows it."""
+
+    async def get(self, path: str, *, wait_s: float = 0.0) -> HttpResponse:
+        """Send a GET request, once more if a kept connection turns out to be closed.
+
+        A server may close an idle connection at any time, and a GET request may be
+        repeated (RFC 9110, 9.2.2).
+        """
+        is_kept = self.is_connected
+        try:
+            return await self._exchange(path, wait_s)
+        except ConnectionLostError:
+            if not is_kept:
+                raise
+        return await self._exchange(path, wait_s)
+
+    @property
+    @abstractmethod
+    def is_connected(self) -> bool:
+        """Whether a connection is open for the next request."""
+
+    @abstractmethod
+    async def _exchange(self, path: str, wait_s: float) -> HttpResponse:
+        """Send one request; close the connection if it can't serve another one.
+
+        Raises
+        ------
+        ConnectionLostError
+            If the connection ends before the first byte of the response.
+        StoreError
+            If no complete response arrives in time.
+        """
--- a/src/balsamtide/flow_node/http_client.py
+++ b/src/balsamtide/flow_node/http_client.py
@@ -15,7 +15,7 @@
 from trio.socket import SOCK_STREAM, socket
 
 from balsamtide.fleet.store import StoreError
-from balsamtide.flow_node.http import BaseHttpClient, HttpResponse
+from balsamtide.flow_node.http import HttpResponse, PersistentHttpClient
 from balsamtide.flow_node.http_connection import HttpConnection
 
 __all__ = ["HttpClient"]
@@ -23,7 +23,7 @@
 READ_BYTES = 65_536
 
 
-class HttpClient(BaseHttpClient):
+class HttpClient(PersistentHttpClient):
     """Sends requests on one persistent connection; a failed request closes it.
 
     Parameters
@@ -44,14 +44,12 @@
     def _new_connection(self) -> HttpConnection:
         return HttpConnection(f"{self.address[0]}:{self.address[1]}")
 
-    async def get(self, path: str, *, wait_s: float = 0.0) -> HttpResponse:
-        """Send a GET request that the server may hold for ``wait_s`` seconds.
+    @property
+    def is_connected(self) -> bool:
+        """Whether a connection is open for the next request."""
+        return self.stream is not None
 
-        Raises
-        ------
-        StoreError
-            If no complete response arrives in time.
-        """
+    async def _exchange(self, path: str, wait_s: float) -> HttpResponse:
         keep_open = False
         try:
             with fail_after(self.timeout_s + wait_s) as scope:
@@ -64,7 +62,8 @@
                 f"for {self.timeout_s + wait_s:g} s"
             ) from error
         except (OSError, BrokenResourceError, ClosedResourceError) as error:
-            raise StoreError(f"{type(error).__name__}: {error}") from error
+            reason = f"{type(error).__name__}: {error}"
+            raise self.connection.failure(reason) from error
         finally:
             if not keep_open:
                 await self.close()
@@ -77,8 +76,8 @@
 
     async def _call(self, path: str, scope: CancelScope) -> HttpResponse:
         if self.stream is None:
-            self.stream = await self._connect()
             self.connection = self._new_connection()
+            self.stream = await self._connect()
         await self.stream.send_all(self.connection.request(path))
         response = None
         while response is None:
--- a/src/balsamtide/flow_node/http_connection.py
+++ b/src/balsamtide/flow_node/http_connection.py
@@ -14,7 +14,7 @@
 )
 
 from balsamtide.fleet.store import StoreError
-from balsamtide.flow_node.http import HttpResponse
+from balsamtide.flow_node.http import ConnectionLostError, HttpResponse
 
 __all__ = ["HttpConnection"]
 
@@ -36,6 +36,7 @@
         self.connection = Connection(CLIENT)
         self.status = 0
         self.body = bytearray()
+        self.has_response_begun = False
 
     @property
     def is_reusable(self) -> bool:
@@ -49,6 +50,7 @@
             self.connection.start_next_cycle()
         self.status = 0
         self.body.clear()
+        self.has_response_begun = False
         head = Request(method="GET", target=path, headers=[("Host", self.host)])
         chunks = (self.connection.send(head), self.connection.send(EndOfMessage()))
         return b"".join(chunk for chunk in chunks if chunk)
@@ -58,9 +60,14 @@
 
         Raises
         ------
+        ConnectionLostError
+            If the connection ended before the first byte of the response.
         StoreError
             If the response is not valid HTTP, too long or truncated.
         """
+        if not data and not self.has_response_begun:
+            raise self.failure("the server closed the connection")
+        self.has_response_begun = True
         try:
             if data is not None:
                 self.connection.receive_data(data)
@@ -68,6 +75,11 @@
         except ProtocolError as error:
             raise StoreError(f"{type(error).__name__}: {error}") from error
 
+    def failure(self, reason: str) -> StoreError:
+        """Return the error for a connection that failed during a request."""
+        kind = StoreError if self.has_response_begun else ConnectionLostError
+        return kind(f"{self.host}: {reason}")
+
     def _next_response(self) -> HttpResponse | None:
         while True:
             event = self.connection.next_event()
--- a/src/balsamtide/flow_node/startup_client.py
+++ b/src/balsamtide/flow_node/startup_client.py
@@ -12,7 +12,7 @@
 from socket import socket as Socket
 
 from balsamtide.fleet.store import StoreError
-from balsamtide.flow_node.http import BaseHttpClient, HttpResponse
+from balsamtide.flow_node.http import HttpResponse, PersistentHttpClient
 
 __all__ = ["SocketWait", "StartupClient"]
 
@@ -39,7 +39,7 @@
         yield self
 
 
-class StartupClient(BaseHttpClient):
+class StartupClient(PersistentHttpClient):
     """Sends requests on one connection; `StartupLoop` enforces the deadline.
 
     Parameters
@@ -52,20 +52,26 @@
         self.address = address
         self.socket: Socket | None = None
 
-    async def get(self, path: str, *, wait_s: float = 0.0) -> HttpResponse:
-        """Send a GET request; ``wait_s`` is ignored.
+    @property
+    def is_connected(self) -> bool:
+        """Whether a connection is open for the next request."""
+        return self.socket is not None
 
-        Raises
-        ------
-        StoreError
-            If no complete response arrives.
-        """
+    async def _exchange(self, path: str, wait_s: float) -> HttpResponse:
+        """Send one request; ``wait_s`` is ignored."""
+        keep_open = False
         try:
             if self.socket is None:
                 await self._connect()
-            return await self._call(path)
+            response = await self._call(path)
+            keep_open = self.connection.is_reusable
+            return response
         except OSError as error:
-            raise StoreError(f"{type(error).__name__}: {error}") from error
+            reason = f"{type(error).__name__}: {error}"
+            raise self.connection.failure(reason) from error
+        finally:
+            if not keep_open:
+                self.close()
 
     async def _connect(self) -> None:
         # Most processes get their view from a peer and need no HTTP before they serve.
--- a/tests/test_flow_node.py
+++ b/tests/test_flow_node.py
@@ -351,9 +351,14 @@
 
 
 @pytest.fixture
-def fleet(tmp_path):
-    """Yield a fleet of one balancer and two agents that answers requests."""
+def fleet(tmp_path, request):
+    """Yield a fleet of one balancer and two agents that answers requests.
+
+    An indirect parameter sets attributes of its store before the start.
+    """
     fleet = LoopbackFleet(tmp_path)
+    for name, value in getattr(request, "param", {}).items():
+        setattr(fleet.store, name, value)
     fleet.store.put("op/config", configuration_document({ADDRESS: SERVICE}))
     try:
         fleet.start("127.0.2.1", SERVICE)
@@ -390,6 +395,14 @@
             sleep(0.05)
 
 
+@pytest.mark.processes
+@pytest.mark.parametrize("fleet", [{"closes_connections": True}], indirect=True)
+def test_daemons_start_with_a_store_that_closes_connections(fleet):
+    """A fleet serves if the store closes each connection after its response."""
+    assert [fleet.call() for _ in range(10)] == [b"answer"] * 10
+    assert [process.poll() for process in fleet.processes.values()] == [None] * 3
+
+
 @pytest.mark.processes
 def test_daemons_serve_readiness_and_metrics(fleet):
     """The readiness probe returns 200, and the metrics include the packet counter."""
