Wait for addresses that are in use

Cause: a socket was bound once, and EADDRINUSE ended the process, again and again until the address was free. The metrics listener took all addresses of the host.

Change: SocketBinder (before trio) and serve_connections (trio tasks) try again with a doubling delay, one line and a counter an attempt; a planned stop ends the wait. The metrics listener is bound at the instance's own address.

Conclusion: a cause of "ended by themselves" on hosts that run several processes; whether it is the users' one is not known.

--- a/src/balsamtide/flow_node/agent_runtime.py
+++ b/src/balsamtide/flow_node/agent_runtime.py
@@ -4,7 +4,7 @@
 
 from balsamtide.clock import boot_time
 from balsamtide.fleet.view_gossip import ViewGossip
-from balsamtide.flow_node.runtime import BatchHandler, FlowRuntime
+from balsamtide.flow_node.runtime import BatchHandler, BindSocket, FlowRuntime
 from balsamtide.flow_node.settings import FlowSettings
 from balsamtide.flows.flow_agent import FlowAgent
 from balsamtide.protocol.flow_actions import Action, ToClient, ToTarget
@@ -26,7 +26,7 @@
     ----------
     processor : FlowAgent
         Decides what happens to packets and frames.
-    settings, gossip, sink
+    settings, gossip, sink, bind
         As for `FlowRuntime`; ``settings.agent`` must be set.
     """
 
@@ -39,12 +39,13 @@
         settings: FlowSettings,
         gossip: ViewGossip,
         sink: LineSink,
+        bind: BindSocket = UdpSocket,
     ) -> None:
-        super().__init__(settings=settings, gossip=gossip, sink=sink)
+        super().__init__(settings=settings, gossip=gossip, sink=sink, bind=bind)
         if settings.agent is None:
             raise ValueError("settings.agent must be set")
         self.processor = processor
-        self.target_socket = UdpSocket(*settings.agent.local_address)
+        self.target_socket = bind(*settings.agent.local_address)
         self.target_address = settings.agent.target_address
 
     def socket_handlers(self) -> list[tuple[UdpSocket, BatchHandler]]:
--- a/src/balsamtide/flow_node/balancer_runtime.py
+++ b/src/balsamtide/flow_node/balancer_runtime.py
@@ -5,7 +5,7 @@
 
 from balsamtide.clock import boot_time
 from balsamtide.fleet.view_gossip import ViewGossip
-from balsamtide.flow_node.runtime import BatchHandler, FlowRuntime
+from balsamtide.flow_node.runtime import BatchHandler, BindSocket, FlowRuntime
 from balsamtide.flow_node.settings import FlowSettings
 from balsamtide.flows.flow_balancer import FlowBalancer
 from balsamtide.protocol.flow_actions import Action, ToClient, ToTarget
@@ -29,7 +29,7 @@
     ----------
     processor : FlowBalancer
         Decides what happens to packets and frames.
-    settings, gossip, sink
+    settings, gossip, sink, bind
         As for `FlowRuntime`.
     """
 
@@ -42,10 +42,11 @@
         settings: FlowSettings,
         gossip: ViewGossip,
         sink: LineSink,
+        bind: BindSocket = UdpSocket,
     ) -> None:
-        super().__init__(settings=settings, gossip=gossip, sink=sink)
+        super().__init__(settings=settings, gossip=gossip, sink=sink, bind=bind)
         self.processor = processor
-        self.ingress = UdpSocket(*settings.packets)
+        self.ingress = bind(*settings.packets)
         self.stop_started_at = inf
         self.last_packet_at = 0.0
 
--- a/src/balsamtide/flow_node/daemon.py
+++ b/src/balsamtide/flow_node/daemon.py
@@ -8,7 +8,8 @@
 
 from balsamtide.clock import boot_time
 from balsamtide.fleet.view_gossip import ViewGossip
-from balsamtide.flow_node.events import DOCUMENT_REJECTED, NODE_STARTED
+from balsamtide.flow_node.binding import SocketBinder, StopRequestedError
+from balsamtide.flow_node.events import DOCUMENT_REJECTED, NODE_STARTED, NODE_STOPPED
 from balsamtide.flow_node.metrics import DOCUMENTS_REJECTED
 from balsamtide.flow_node.runtime import FlowRuntime
 from balsamtide.flow_node.settings import FlowSettings, FlowSettingsError
@@ -57,12 +58,18 @@
         self.random = SystemRandom()
         self.sink = LineSink(instance=settings.instance)
         self.stop_requested_at = stop_requested_at
+        self.binder = SocketBinder(self.sink, stop_requested_at=stop_requested_at)
 
     def run(self) -> None:
         """Run until a planned stop has completed."""
         # Imports create little garbage, so collections would only cost time.
         gc.disable()
-        runtime = self._make_runtime()
+        try:
+            runtime = self._make_runtime()
+        except StopRequestedError:
+            self.sink.event(NODE_STOPPED, lasted_ms=0)
+            self.sink.flush()
+            return
         self._report_start()
         client = StartupClient(self.settings.store)
         store = PlatformStore(client, watch_s=WATCH_S, on_reject=self._log_rejected)
@@ -114,7 +121,11 @@
             sink=sink,
         )
         return BalancerRuntime(
-            processor=balancer, settings=settings, gossip=gossip, sink=sink
+            processor=balancer,
+            settings=settings,
+            gossip=gossip,
+            sink=sink,
+            bind=self.binder.bind,
         )
 
     def _make_agent(self, gossip: ViewGossip, service: str) -> FlowRuntime:
@@ -138,7 +149,11 @@
             now=boot_time(),
         )
         return AgentRuntime(
-            processor=agent, settings=settings, gossip=gossip, sink=sink
+            processor=agent,
+            settings=settings,
+            gossip=gossip,
+            sink=sink,
+            bind=self.binder.bind,
         )
 
     def _log_rejected(self, key: str, reason: str) -> None:
--- a/src/balsamtide/flow_node/events.py
+++ b/src/balsamtide/flow_node/events.py
@@ -3,6 +3,7 @@
 from balsamtide.telemetry.event import Event, Level
 
 __all__ = [
+    "ADDRESS_UNAVAILABLE",
     "DOCUMENT_REJECTED",
     "NODE_LOADED",
     "NODE_STARTED",
@@ -118,3 +119,17 @@
     level=Level.INFO,
     meaning="All libraries are imported; tasks replace the startup loop.",
 )
+ADDRESS_UNAVAILABLE = Event(
+    number=942,
+    name="address-unavailable",
+    level=Level.WARNING,
+    meaning="A socket could not be bound; it is tried again.  Without the sockets for "
+    "packets, the process does not start; without the listeners for readiness and "
+    "metrics, it forwards packets.",
+    action="Find the process that uses the address, or correct the settings.",
+    fields={
+        "address": "IP address and port",
+        "reason": "error of the operating system",
+        "retry_ms": "delay of the next attempt, milliseconds",
+    },
+)
--- a/src/balsamtide/flow_node/metrics.py
+++ b/src/balsamtide/flow_node/metrics.py
@@ -2,7 +2,19 @@
 
 from balsamtide.telemetry.event import Metric, MetricKind
 
-__all__ = ["DOCUMENTS_REJECTED", "STORE_CALLS", "VIEW_AGE", "VIEW_PULLS"]
+__all__ = [
+    "BIND_FAILURES",
+    "DOCUMENTS_REJECTED",
+    "STORE_CALLS",
+    "VIEW_AGE",
+    "VIEW_PULLS",
+]
+
+BIND_FAILURES = Metric(
+    name="bind_failures_total",
+    kind=MetricKind.COUNTER,
+    meaning="Failed attempts to bind a socket to its address.",
+)
 
 STORE_CALLS = Metric(
     name="store_calls_total",
--- a/src/balsamtide/flow_node/node.py
+++ b/src/balsamtide/flow_node/node.py
@@ -12,7 +12,6 @@
     move_on_at,
     open_nursery,
     open_signal_receiver,
-    serve_tcp,
     sleep,
 )
 
@@ -24,6 +23,7 @@
     SETTINGS_UNUSABLE,
 )
 from balsamtide.flow_node.http_server import HttpServer, ServerResponse
+from balsamtide.flow_node.listener import serve_connections
 from balsamtide.flow_node.runtime import BatchHandler, FlowRuntime
 from balsamtide.flow_node.settings import FlowSettings, FlowSettingsError
 from balsamtide.flow_node.settings_source import SettingsSource
@@ -45,7 +45,6 @@
 STOP_MARGIN_S = 1.0
 # Interval at which a planned stop checks for remaining work.
 STOP_CHECK_PERIOD_S = 0.02
-ANY_HOST = "0.0.0.0"
 METRICS_PATH = "/metrics"
 METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 NOT_FOUND = ServerResponse(404)
@@ -203,8 +202,9 @@
     # Readiness
 
     async def _serve_readiness(self) -> None:
-        host, port = self.runtime.settings.readiness
-        await serve_tcp(HttpServer(self._readiness_response).serve, port, host=host)
+        server = HttpServer(self._readiness_response)
+        address = self.runtime.settings.readiness
+        await serve_connections(server.serve, address, sink=self.sink)
 
     def _readiness_response(self, path: str) -> ServerResponse:
         if path.partition("?")[0] != self.readiness_path:
@@ -214,8 +214,11 @@
     # Metrics
 
     async def _serve_metrics(self) -> None:
-        port = self.runtime.settings.metrics_port
-        await serve_tcp(HttpServer(self._metrics_response).serve, port, host=ANY_HOST)
+        server = HttpServer(self._metrics_response)
+        settings = self.runtime.settings
+        # Only the instance's own address, since the port is the same for all instances.
+        address = settings.host, settings.metrics_port
+        await serve_connections(server.serve, address, sink=self.sink)
 
     def _metrics_response(self, path: str) -> ServerResponse:
         # Imported on the first request, since most processes are never scraped.
--- a/src/balsamtide/flow_node/runtime.py
+++ b/src/balsamtide/flow_node/runtime.py
@@ -29,9 +29,11 @@
 from balsamtide.transport.addresses import format_ipv4, parse_ipv4
 from balsamtide.transport.udp_socket import Received, UdpSocket
 
-__all__ = ["BatchHandler", "FlowRuntime"]
+__all__ = ["BatchHandler", "BindSocket", "FlowRuntime"]
 
 BatchHandler = Callable[[list[Received], float], None]
+# Returns a socket that is bound to an IP address and port.
+BindSocket = Callable[[str, int], UdpSocket]
 
 
 class FlowRuntime(ABC):
@@ -45,17 +47,24 @@
         Holds and shares the view of the fleet.
     sink : LineSink
         Log and metrics.
+    bind : callable
+        Binds the sockets.
     """
 
     processor: FlowProcessor
 
     def __init__(
-        self, *, settings: FlowSettings, gossip: ViewGossip, sink: LineSink
+        self,
+        *,
+        settings: FlowSettings,
+        gossip: ViewGossip,
+        sink: LineSink,
+        bind: BindSocket = UdpSocket,
     ) -> None:
         self.settings = settings
         self.gossip = gossip
         self.sink = sink
-        self.inner = UdpSocket(*settings.inner)
+        self.inner = bind(*settings.inner)
         self.is_stopping = False
         self.has_view = False
         # Start of the store's outage if the startup loop could not read it, else
--- a/tests/test_flow_node.py
+++ b/tests/test_flow_node.py
@@ -300,8 +300,8 @@
         environment = dict(os.environ)
         environment["BALSAMTIDE_SETTINGS"] = str(path)
         environment["PYTHONPATH"] = "src"
-        if not service:
-            environment["BALSAMTIDE_METRICS_PORT"] = str(self.ports["metrics"])
+        # The same for all instances, as in the deploy file.
+        environment["BALSAMTIDE_METRICS_PORT"] = str(self.ports["metrics"])
         log = (self.folder / f"{host}.log").open("ab")
         self.processes[host] = subprocess.Popen(
             [sys.executable, "-m", "balsamtide.flow_daemon"],
@@ -329,10 +329,13 @@
             sleep(0.05)
         raise AssertionError(f"no response within {START_TIMEOUT_S} s")
 
-    def has_logged(self, name):
-        """Return whether a process has logged an event."""
+    def wait_for_event(self, name):
+        """Wait until a process has logged an event."""
         text = f'"name":"{name}"'
-        return any(text in log.read_text() for log in self.folder.glob("*.log"))
+        until = monotonic() + START_TIMEOUT_S
+        while not any(text in log.read_text() for log in self.folder.glob("*.log")):
+            assert monotonic() < until, f"no {name} within {START_TIMEOUT_S} s"
+            sleep(0.05)
 
     def stop(self, host):
         """Stop a process with SIGTERM and return its exit code."""
@@ -408,8 +411,39 @@
     """The readiness probe returns 200, and the metrics include the packet counter."""
     ready = f"http://127.0.1.1:{fleet.ports['ready']}/-/readiness"
     assert get_when_listening(ready).status_code == 200
-    metrics = f"http://127.0.1.1:{fleet.ports['metrics']}/metrics"
-    assert "balsamtide_flow_packets_total" in get_when_listening(metrics).text
+    for host in fleet.processes:
+        metrics = f"http://{host}:{fleet.ports['metrics']}/metrics"
+        assert "balsamtide_view_age_seconds" in get_when_listening(metrics).text
+
+
+@pytest.mark.processes
+@pytest.mark.parametrize("host", ["127.0.1.1", "127.0.2.1"], ids=["balancer", "agent"])
+def test_daemon_waits_for_the_sockets_of_the_one_before_it(fleet, host):
+    """A process that starts before its predecessor has ended takes over from it."""
+    before = fleet.processes[host]
+    fleet.start(host, SERVICE if host in fleet.targets else "")
+    try:
+        fleet.wait_for_event("address-unavailable")
+        before.send_signal(signal.SIGTERM)
+        assert before.wait(START_TIMEOUT_S) == 0
+        ready = f"http://{host}:{fleet.ports['ready']}/-/readiness"
+        assert get_when_listening(ready).status_code == 200
+        assert [fleet.call() for _ in range(10)] == [b"answer"] * 10
+        assert fleet.processes[host].poll() is None
+    finally:
+        before.kill()
+
+
+@pytest.mark.processes
+def test_daemon_that_waits_for_a_socket_stops(fleet):
+    """A planned stop ends a process that waits for an address, with code 0."""
+    before = fleet.processes["127.0.2.1"]
+    fleet.start("127.0.2.1", SERVICE)
+    try:
+        fleet.wait_for_event("address-unavailable")
+        assert fleet.stop("127.0.2.1") == 0
+    finally:
+        before.kill()
 
 
 @pytest.mark.processes
@@ -417,10 +451,7 @@
     """A record of another writer, whose number no duration holds, ends no process."""
     record = target_document("127.0.2.9", fleet.ports, SERVICE)
     fleet.store.put("servers/odd", record | {"warmupLeftMs": 10**400})
-    until = monotonic() + START_TIMEOUT_S
-    while not fleet.has_logged("document-rejected"):
-        assert monotonic() < until, "no process rejected the record"
-        sleep(0.05)
+    fleet.wait_for_event("document-rejected")
     assert [fleet.call() for _ in range(10)] == [b"answer"] * 10
     assert [process.poll() for process in fleet.processes.values()] == [None] * 3
 
