Reject documents with names that no process can use

Nested documents and ports out of range were rejected already. A service, zone or key with a lone surrogate was accepted; service_tag and the tag of the view raised UnicodeEncodeError, which ends the process. Names of 500,000 characters were accepted too.

Cause: as with numbers, types were checked and ranges were not. Ruled out: the log (json escapes surrogates) and the update of a peer (so does its codec, so that the record reached every process).

Before: 9 rows of tests/test_foreign_records.py failed, among them the property that every accepted record can be carried through view, update and placement.

--- a/src/balsamtide/platform/documents.py
+++ b/src/balsamtide/platform/documents.py
@@ -28,6 +28,8 @@
 MAX_INTEGER = 2**63 - 1
 # Milliseconds; a floating-point number holds them and their sum with a local time.
 MAX_DURATION_MS = 2**53
+# Every process holds the names of all targets, and sends them to its peers.
+MAX_NAME_BYTES = 1024
 
 
 class DocumentError(ValueError):
@@ -44,6 +46,26 @@
     return value
 
 
+def _check_name(name: str, what: str) -> str:
+    """Return a name if its UTF-8 form is short enough.
+
+    JSON escapes can stand for lone surrogates, which no encoding holds.
+    """
+    try:
+        length = len(name.encode())
+    except UnicodeEncodeError as error:
+        raise DocumentError(f"{what} {name!r:.40} is not valid Unicode") from error
+    if length > MAX_NAME_BYTES:
+        raise DocumentError(
+            f"{what} {name!r:.40} has {length} bytes, more than {MAX_NAME_BYTES}"
+        )
+    return name
+
+
+def _name(document: Mapping[str, Any], field: str) -> str:
+    return _check_name(_field(document, field, str), f"field {field!r}:")
+
+
 def _number(
     document: Mapping[str, Any],
     name: str,
@@ -109,9 +131,10 @@
     Raises
     ------
     DocumentError
-        If a field is missing, or has the wrong type, an unknown value or a number out
-        of range.
+        If a field is missing, or has the wrong type, an unknown value, a number out of
+        range or a name that is too long or not valid.
     """
+    _check_name(name, "key")
     document = _parse_object(data)
     host, _, port = _field(document, "address", str).rpartition(":")
     state = TARGET_STATES.get(_field(document, "state", str))
@@ -126,10 +149,10 @@
     started_ms = _integer(document, "born", minimum=0) if "born" in document else 0
     return FlowTarget(
         name=name,
-        service=_field(document, "service", str),
+        service=_name(document, "service"),
         host=_parse_host(host),
         port=_parse_port(port),
-        zone=_field(document, "zone", str),
+        zone=_name(document, "zone"),
         capacity=_integer(document, "capacity", minimum=1),
         state=state,
         # Local time at which the warm-up ends.
@@ -168,7 +191,7 @@
 
 
 def _decode_service_name(document: dict) -> str:
-    return _field(document, "name", str)
+    return _name(document, "name")
 
 
 def _decode_route(document: dict) -> tuple[tuple[int, int], FlowRoute]:
@@ -176,7 +199,7 @@
     port = _parse_port(_field(document, "prefix", str).strip("/"))
     host = _parse_host(_field(document, "host", str))
     route = FlowRoute(
-        name=_field(document, "name", str),
+        name=_name(document, "name"),
         shares=_decode_shares(document),
         timeout_s=_duration_s(document, "timeoutMs"),
         objective_s=_duration_s(document, "goalMs"),
@@ -187,11 +210,11 @@
 
 def _decode_shares(document: dict) -> tuple[tuple[str, int], ...]:
     if document.get("service") is not None:
-        return ((_field(document, "service", str), 1),)
+        return ((_name(document, "service"), 1),)
     shares = _decode_items(
         document,
         "backends",
-        lambda item: (_field(item, "service", str), _integer(item, "weight")),
+        lambda item: (_name(item, "service"), _integer(item, "weight")),
     )
     shares = [share for share in shares if share[1] > 0]
     if not shares:
--- a/tests/test_foreign_records.py
+++ b/tests/test_foreign_records.py
@@ -57,6 +57,10 @@
     "port-0": to_json(TARGET | {"address": "10.128.0.9:0"}),
     "port-65536": to_json(TARGET | {"address": "10.128.0.9:65536"}),
     "port-too-long": to_json(TARGET | {"address": f"10.128.0.9:{TOO_LONG}"}),
+    "service-surrogate": to_json(TARGET | {"service": "\ud800"}),
+    "zone-surrogate": to_json(TARGET | {"zone": "\ud800"}),
+    "service-long": to_json(TARGET | {"service": "s" * 500_000}),
+    "zone-long": to_json(TARGET | {"zone": "z" * 500_000}),
     "nested": DEEPLY_NESTED,
     "nested-field": to_json(TARGET)[:-1] + b',"x":' + DEEPLY_NESTED + b"}",
     "nested-state": to_json(TARGET | {"state": [[["ready"]]]}),
@@ -80,10 +84,27 @@
     assert rejected == ["servers/odd"] * 2
 
 
+def test_key_that_no_text_encoding_holds_is_rejected():
+    """A record whose key has a lone surrogate is rejected like an odd record."""
+    store, rejected = make_store(
+        (200, {"events": [item("servers/\ud800", TARGET)], "storeRevision": 10})
+    )
+    assert run_to_end(store.watch(9)).changes[0].target is None
+    assert len(rejected) == 1
+
+
+ODD_ROUTES = [
+    ROUTE | {"prefix": f"/{TOO_LONG}/"},
+    ROUTE | {"service": "\ud800"},
+    ROUTE | {"name": "\ud800"},
+]
+
+
 @pytest.mark.parametrize(
     "document",
     [
-        to_json(CONFIGURATION | {"routes": [ROUTE | {"prefix": f"/{TOO_LONG}/"}]}),
+        *(to_json(CONFIGURATION | {"routes": [route]}) for route in ODD_ROUTES),
+        to_json(CONFIGURATION | {"services": [{"name": "\ud800"}]}),
         *(
             to_json(CONFIGURATION).replace(b": %d" % number, b": " + odd.encode())
             for number in (CONFIGURATION["version"], 15000, ROUTE["timeoutMs"])
@@ -123,8 +144,8 @@
     | st.booleans()
     | st.integers()
     | st.floats()
-    | st.text(max_size=12)
-    | st.sampled_from(["10.0.0.1:80", "10.0.0.1:99999", 10**400, -(10**400)]),
+    | st.text(st.characters(), max_size=12)
+    | st.sampled_from(["\ud800", "10.0.0.1:80", "10.0.0.1:99999", 10**400, -(10**400)]),
     lambda inner: st.lists(inner, max_size=3),
     max_leaves=4,
 )
@@ -132,6 +153,7 @@
 
 @given(st.sampled_from([*TARGET, "other"]), json_values)
 @example("warmupLeftMs", 10**400)
+@example("service", "\ud800")
 @example("capacity", 10**300)
 def test_record_that_decodes_can_be_used(field, value):
     """A record with any value in a field is rejected or used like any other."""
