Read pages that end with a value of the largest size

Found while looking for records that keep processes from following the store: a page holds up to 1 MB and the value that exceeds it; a value may have 1 MB too. In base64 that is 2.8 MB, and responses above 2 MB were refused, so that a full read would fail again and again.

Change: the limit is 3 MB.

Before: test_page_with_the_largest_value_is_read failed (2.87 MB refused is what the test plays; no store was seen to send it). After: it passes.

--- a/src/balsamtide/flow_node/http_connection.py
+++ b/src/balsamtide/flow_node/http_connection.py
@@ -18,8 +18,9 @@
 
 __all__ = ["HttpConnection"]
 
-# The store's pages hold up to 1 MB, which base64 increases by a third.
-MAX_BODY_BYTES = 2_000_000
+# The store's pages hold up to 1 MB and the value that exceeds it, which may have 1 MB
+# too; base64 increases both by a third.
+MAX_BODY_BYTES = 3_000_000
 
 
 class HttpConnection:
--- a/tests/test_flow_node.py
+++ b/tests/test_flow_node.py
@@ -4,6 +4,7 @@
 import signal
 import subprocess
 import sys
+from base64 import b64encode
 from contextlib import suppress
 from dataclasses import replace
 from json import dumps, loads
@@ -145,6 +146,18 @@
         assert connection.receive(response).status == status
 
 
+def test_page_with_the_largest_value_is_read():
+    """A page that is nearly full and ends with a value of the largest size is read."""
+    entry = {"key": "k" * 200, "rev": 1, "created": 1, "lease": 0}
+    small = entry | {"value": b64encode(bytes(2000)).decode()}
+    largest = entry | {"value": b64encode(bytes(1_048_576)).decode()}
+    page = dumps({"items": [*[small] * 499, largest], "morePages": True}).encode()
+    connection = HttpConnection("h")
+    connection.request("/x")
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(page)
+    assert connection.receive(head + page).body == page
+
+
 def test_http_server_keeps_connections_open():
     """Two requests on one connection get their own responses."""
 
