Report settings that are out of range instead of ending

Found while looking for ends of processes on related paths: a seed that is no address, a first internal port that is no port, a huge or infinite number, digits that int refuses and lone surrogates raised ValueError, TypeError or OverflowError, at the start and at a reload, where the previous settings could have stayed in use. Not seen at work.

Before: 9 rows of test_all_settings_problems_are_reported and the property test_settings_that_decode_can_be_used failed.

--- a/src/balsamtide/platform/settings.py
+++ b/src/balsamtide/platform/settings.py
@@ -17,6 +17,7 @@
     FlowSettingsError,
     StoreLimits,
 )
+from balsamtide.transport.addresses import parse_ipv4
 
 __all__ = ["READINESS_PATH", "decode_settings", "read_settings", "settings_path"]
 
@@ -27,6 +28,9 @@
 # Role names in the settings file.
 BALANCER_ROLE = "front"
 AGENT_ROLE = "side"
+MAX_PORT = 65535
+# Largest number of a setting; in milliseconds some 300,000 years.
+MAX_NUMBER = 2**53
 
 
 class _FieldReader:
@@ -49,16 +53,52 @@
 
     def address(self, path: str) -> Address:
         host, _, port = self.get(path, str, "0.0.0.0:0").rpartition(":")
-        if not port.isdigit():
-            self.problems.append(f"{path}: {port!r:.40} is not a port number")
-            return host, 0
-        return host, int(port)
+        return self._check_host(path, host), self.parse_port(path, port)
+
+    def host(self, path: str) -> str:
+        return self._check_host(path, self.get(path, str, "0.0.0.0"))
+
+    def first_port(self, path: str) -> int:
+        ports = self.get(path, list, [0])
+        return self.parse_port(path, str(ports[0]) if ports else "")
+
+    def hosts(self, path: str) -> tuple[str, ...]:
+        """Return the addresses of a list, without their ports."""
+        entries = self.get(path, list, [])
+        names = (str(entry).rpartition(":")[0] for entry in entries)
+        return tuple(self._check_host(path, name) for name in names)
 
     def number(self, path: str) -> float:
-        return self.get(path, (int, float), 0.0)
+        value = self.get(path, (int, float), 0.0)
+        # False for NaN as well.
+        if not 0 <= value <= MAX_NUMBER:
+            self.problems.append(f"{path}: {value!r:.40} is out of range")
+            return 0.0
+        return value
 
     def text(self, path: str) -> str:
-        return self.get(path, str, "")
+        text = self.get(path, str, "")
+        try:
+            text.encode()
+        except UnicodeEncodeError:
+            self.problems.append(f"{path}: {text!r:.40} is not valid Unicode")
+        return text
+
+    def _check_host(self, path: str, host: str) -> str:
+        try:
+            parse_ipv4(host)
+        except ValueError:
+            self.problems.append(f"{path}: {host!r:.40} is not an IPv4 address")
+        return host
+
+    def parse_port(self, path: str, text: str) -> int:
+        # The length is checked before `int`, which refuses thousands of digits.
+        is_short = len(text) <= len(str(MAX_PORT))
+        is_number = is_short and text.isascii() and text.isdigit()
+        if not is_number or int(text) > MAX_PORT:
+            self.problems.append(f"{path}: {text!r:.40} is not a port number")
+            return 0
+        return int(text)
 
 
 def settings_path() -> str:
@@ -107,10 +147,7 @@
     is_agent = AGENT_ROLE in roles
     if not is_agent and BALANCER_ROLE not in roles:
         fields.problems.append("servedRoles: contains neither 'front' nor 'side'")
-    host = fields.text("ipAddr")
-    # First and last port of the range for traffic between instances.
-    ports = fields.get("internalPorts", list, [0])
-    seeds = fields.get("seedAddrs", list, [])
+    host = fields.host("ipAddr")
     return FlowSettings(
         instance=fields.text("nodeId"),
         role=FlowRole.AGENT if is_agent else FlowRole.BALANCER,
@@ -118,9 +155,10 @@
         zone=fields.text("zone"),
         packets=fields.address("bindAddrs.datagramAddr"),
         readiness=fields.address("bindAddrs.ready"),
-        inner=(host, ports[0] if ports else 0),
+        # The field has the first and last port of the range for this traffic.
+        inner=(host, fields.first_port("internalPorts")),
         # Without the ports: processes contact each other at the inner port.
-        seeds=tuple(str(seed).rpartition(":")[0] for seed in seeds),
+        seeds=fields.hosts("seedAddrs"),
         store=fields.address("platform.address"),
         store_limits=StoreLimits(
             reads_per_s=fields.number("platform.readsPerS"),
@@ -136,11 +174,7 @@
 
 def _read_metrics_port(fields: _FieldReader) -> int:
     """Return the metrics port from the environment, 0 if it is not set."""
-    text = environ.get(METRICS_VARIABLE, "0")
-    if not text.isdigit():
-        fields.problems.append(f"{METRICS_VARIABLE}: {text!r} is not a port")
-        return 0
-    return int(text)
+    return fields.parse_port(METRICS_VARIABLE, environ.get(METRICS_VARIABLE, "0"))
 
 
 def _decode_agent(fields: _FieldReader) -> AgentTarget:
--- a/tests/test_flow_platform.py
+++ b/tests/test_flow_platform.py
@@ -22,6 +22,8 @@
 )
 from balsamtide.platform.packets import HEADER_BYTES, MAX_DATA_BYTES, WirePackets
 from balsamtide.platform.settings import decode_settings
+from balsamtide.protocol.flow_frames import service_tag
+from balsamtide.transport.addresses import parse_ipv4
 from tests.fakes_platform import (
     CONFIGURATION,
     ROUTE,
@@ -225,6 +227,18 @@
         ({"servedRoles": ["side"]}, 3),
         # The address, readsPerS and historyS.
         ({"platform": {}}, 3),
+        ({"zone": "\ud800"}, 1),
+        ({"ipAddr": "front-1"}, 1),
+        ({"internalPorts": []}, 1),
+        ({"internalPorts": ["x"]}, 1),
+        ({"internalPorts": [70_000]}, 1),
+        ({"seedAddrs": ["10.2.0.40:8166", "front-2:8166", 5]}, 2),
+        (
+            {"bindAddrs": SETTINGS["bindAddrs"] | {"ready": "10.1.0.10:" + "9" * 5000}},
+            1,
+        ),
+        ({"bounds": SETTINGS["bounds"] | {"gracePeriodS": 10**400}}, 1),
+        ({"bounds": SETTINGS["bounds"] | {"flowTtlS": float("nan")}}, 1),
     ],
     ids=str,
 )
@@ -301,6 +315,34 @@
         run_to_end(store.watch(3))
 
 
+json_values = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=20),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=5), inner, max_size=3)
+    ),
+    max_leaves=5,
+)
+
+
+@given(st.sampled_from([*SETTINGS, "app", "service"]), json_values)
+def test_settings_that_decode_can_be_used(field, value):
+    """Any value of a field is reported or can be used, so that no reload raises."""
+    is_agent = field in ("app", "service")
+    document = SETTINGS | {"service": "orders", "app": "10.1.0.10:8165"}
+    if is_agent:
+        outbound = SETTINGS["bindAddrs"] | {"outbound": "10.1.0.10:8162"}
+        document |= {"servedRoles": ["side"], "bindAddrs": outbound}
+    try:
+        settings = decode_settings(to_json(document | {field: value}))
+    except FlowSettingsError:
+        return
+    for host in (settings.host, *settings.seeds):
+        parse_ipv4(host)
+    if settings.agent is not None:
+        service_tag(settings.agent.service)
+
+
 def test_settings_template_is_one_json_placeholder():
     """The settings template of the deploy file renders all fields as JSON."""
     with open("deploy/node.yaml") as file:
