Read settings again that are not valid at the start

Found while looking for ends of processes on related paths: a process that starts while its settings file is being written reads a part of it and ends with code 2. A reload keeps the previous settings; a start has none. Not seen at work.

Change: the file is read again for a second before the start is given up. A first test with real daemons passed before the fix under load (the file was complete before it was read), so it was replaced by one without time.

Before: nothing read the file a second time.

--- a/src/balsamtide/flow_node/daemon.py
+++ b/src/balsamtide/flow_node/daemon.py
@@ -4,7 +4,7 @@
 import sys
 from collections.abc import Callable
 from random import SystemRandom
-from time import process_time
+from time import process_time, sleep
 
 from balsamtide.clock import boot_time
 from balsamtide.fleet.view_gossip import ViewGossip
@@ -22,7 +22,7 @@
 from balsamtide.telemetry.line_sink import LineSink
 from balsamtide.transport.addresses import parse_ipv4
 
-__all__ = ["EXIT_SETTINGS", "FlowDaemon", "run_daemon"]
+__all__ = ["EXIT_SETTINGS", "FlowDaemon", "read_first_settings", "run_daemon"]
 
 EXIT_SETTINGS = 2
 # Longest time that the store may hold a watch; a dead connection is detected when a
@@ -31,6 +31,10 @@
 # Timeout of a request, in addition to the time for which the store may hold it; several
 # times the duration of the slowest normal response.
 STORE_TIMEOUT_S = 0.5
+# A settings file that is not valid may be just being written; it is read again for this
+# long after the start.
+SETTINGS_RETRY_S = 1.0
+SETTINGS_RETRY_PERIOD_S = 0.05
 
 
 class FlowDaemon:
@@ -185,6 +189,24 @@
     import balsamtide.flow_node.node  # noqa: F401
 
 
+def read_first_settings(source: SettingsSource) -> FlowSettings:
+    """Read the settings, again for a while if they are not valid.
+
+    Raises
+    ------
+    FlowSettingsError
+        If they are not valid at the end of that time.
+    """
+    give_up_at = boot_time() + SETTINGS_RETRY_S
+    while True:
+        try:
+            return source.read(source.path)
+        except FlowSettingsError:
+            if boot_time() >= give_up_at:
+                raise
+        sleep(SETTINGS_RETRY_PERIOD_S)
+
+
 def run_daemon(stop_requested_at: Callable[[], float]) -> int:
     """Run a daemon with the platform's settings file.
 
@@ -200,7 +222,7 @@
     """
     source = SettingsSource(settings_path(), read_settings)
     try:
-        settings = source.read(source.path)
+        settings = read_first_settings(source)
     except FlowSettingsError as error:
         for problem in error.problems:
             print(f"settings: {problem}", file=sys.stderr)
--- a/tests/test_flow_node.py
+++ b/tests/test_flow_node.py
@@ -21,11 +21,13 @@
 from balsamtide.fleet.store import Listing, StoreError
 from balsamtide.fleet.view import FleetView
 from balsamtide.flow_node.balancer_runtime import BalancerRuntime
+from balsamtide.flow_node.daemon import read_first_settings
 from balsamtide.flow_node.http import HttpResponse
 from balsamtide.flow_node.http_client import HttpClient
 from balsamtide.flow_node.http_connection import HttpConnection
 from balsamtide.flow_node.http_server import HttpServer, ServerResponse
 from balsamtide.flow_node.node import STOP_MARGIN_S, FlowNode
+from balsamtide.flow_node.settings import FlowSettingsError
 from balsamtide.flow_node.settings_source import SettingsSource
 from balsamtide.flow_node.startup_client import StartupClient
 from balsamtide.flow_node.startup_loop import StartupLoop
@@ -520,6 +522,29 @@
     assert done.stderr.count("settings: ") > 5
 
 
+@pytest.mark.parametrize(
+    ("failures", "is_read"), [(0, True), (3, True), (10_000, False)]
+)
+def test_settings_that_are_just_being_written_are_read_again(
+    tmp_path, failures, is_read
+):
+    """A settings file that is not valid at first is used once it is."""
+    outcomes = iter([FlowSettingsError(("truncated",))] * failures)
+    expected = object()
+
+    def read(path: str) -> object:
+        for error in outcomes:
+            raise error
+        return expected
+
+    source = SettingsSource(str(tmp_path / "none"), read)
+    if is_read:
+        assert read_first_settings(source) is expected
+    else:
+        with pytest.raises(FlowSettingsError):
+            read_first_settings(source)
+
+
 @pytest.mark.parametrize(
     ("gap_s", "is_complete"), [(0.1, True), (1.5, False)], ids=["slow-link", "silent"]
 )
