Let no record of an unknown service hide a target

Cause: FleetView.by_host takes the target that started last on an instance, whatever its service, and is_eligible asks for that one.

Change: a named service goes before an unnamed one, then the later start decides. The groups by host are computed anew if a configuration changes the services.

The view of tests/test_fleet_view.py had targets of a service that its configuration did not name; a store accepts no such configuration with that route, so the configuration names both services now.

--- a/src/balsamtide/fleet/view.py
+++ b/src/balsamtide/fleet/view.py
@@ -161,14 +161,21 @@
 
     @cached_property
     def by_host(self) -> dict[int, FlowTarget]:
-        """The most recently started target on each instance."""
+        """The most recently started target of a known service on each instance.
+
+        A target of a service that the configuration does not name counts only if the
+        instance has no other one.
+        """
         latest: dict[int, FlowTarget] = {}
         for target in self.targets.values():
             known = latest.get(target.host)
-            if known is None or known.started_ms <= target.started_ms:
+            if known is None or self._precedence(known) <= self._precedence(target):
                 latest[target.host] = target
         return latest
 
+    def _precedence(self, target: FlowTarget) -> tuple[bool, int]:
+        return target.service in self.configuration.services, target.started_ms
+
     @cached_property
     def targets_tag(self) -> int:
         """Sum of the tags of all targets, which is the same in any order."""
@@ -211,10 +218,11 @@
             settles_at=max(self.settles_at, settles_at),
         )
         if not changes:
+            kept = {"by_service", "rings", "targets_tag"}
+            if after.configuration.services == self.configuration.services:
+                kept.add("by_host")
             after.__dict__.update(
-                (name, value)
-                for name, value in self.__dict__.items()
-                if name in ("by_service", "by_host", "rings", "targets_tag")
+                (name, value) for name, value in self.__dict__.items() if name in kept
             )
             return after
         tag = self.targets_tag
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -110,7 +110,7 @@
     return FlowConfiguration(
         version=version,
         routes={(1, 2): route},
-        services=frozenset({"orders"}),
+        services=frozenset({"orders", "proofs"}),
         idle_timeout_s=15.0,
     )
 
@@ -220,6 +220,24 @@
     assert view.eligible("proofs", NOW) == (new,)
 
 
+@pytest.mark.parametrize("order", [1, -1], ids=["target-first", "record-first"])
+@pytest.mark.parametrize("is_learned_later", [False, True])
+def test_record_of_an_unknown_service_hides_no_target(order, is_learned_later):
+    """A later record at a target's address counts once its service is configured."""
+    target = make_target("a", started_ms=1)
+    foreign = make_target("b", started_ms=2, service="unknown")
+    view = make_view(5, 1, *(target, foreign)[::order])
+    known = replace(view.configuration, services=frozenset({"orders"}))
+    view = replace(view, configuration=known)
+    assert view.eligible("orders", NOW) == (target,)
+    if is_learned_later:
+        services = frozenset({"orders", "unknown"})
+        later = replace(known, version=2, services=services)
+        view = view.changed(revision=6, configuration=later)
+        assert view.eligible("orders", NOW) == ()
+        assert view.eligible("unknown", NOW) == (foreign,)
+
+
 class Fleet:
     """Processes that gossip a view in virtual time.
 
