--- a/tests/fakes_packets.py
+++ b/tests/fakes_packets.py
@@ -74,11 +74,13 @@
     return FleetView(revision=revision, configuration=configuration, targets=named)
 
 
-def make_gossip(host: int, view: FleetView, *, age_s: float = 0.0) -> ViewGossip:
+def make_gossip(
+    host: int, view: FleetView, *, age_s: float = 0.0, now: float = NOW
+) -> ViewGossip:
     """Return the gossip of a view confirmed ``age_s`` ago; it sends no digests."""
-    gossip = ViewGossip(host=host, seeds=(), random=Random(1), now=NOW)
+    gossip = ViewGossip(host=host, seeds=(), random=Random(1), now=now)
     gossip.view = view
-    gossip.confirmed_at = NOW - age_s
+    gossip.confirmed_at = now - age_s
     gossip.digest_at = float("inf")
     gossip.has_seen_peer = True
     return gossip
--- a/tests/test_flow_node.py
+++ b/tests/test_flow_node.py
@@ -224,7 +224,8 @@
     )
     settings = decode_settings(dumps(document).encode())
     sink = make_sink(pipe, clock=monotonic)
-    gossip = make_gossip(1, VIEW)
+    # The startup loop uses the clock of the machine.
+    gossip = make_gossip(1, VIEW, now=boot_time())
     gossip.view = FleetView()
     # No digests are sent during the test.
     gossip.digest_at = float("inf")
