--- a/tests/test_failures_path.py
+++ b/tests/test_failures_path.py
@@ -119,11 +119,10 @@
 }
 
 
-@mark.parametrize(
-    ("first", "second"),
-    list(combinations_with_replacement(FAILURES, 2)),
-    ids="-and-".join,
-)
+PAIRS = tuple(combinations_with_replacement(FAILURES, 2))
+
+
+@mark.parametrize(("first", "second"), PAIRS, ids=map("-and-".join, PAIRS))
 def test_any_two_failures_keep_all_guarantees(tmp_path, first, second):
     """Streams are complete, POSTs run at most once and refused ones do not run."""
     observed = Observed()
