Wait for the agents' views before a test takes the store down

Cause, from the logs of that run: the balancer answered 0.06 s after its start and was killed; both agents were still at version -1 when the store answered 503, so that no process had a view to pull. An answered request shows the balancer's view only.

The test waits until both agents have a view and checks what it did before.

--- a/tests/test_flow_node.py
+++ b/tests/test_flow_node.py
@@ -345,11 +345,13 @@
             sleep(0.05)
         raise AssertionError(f"no response within {START_TIMEOUT_S} s")
 
-    def wait_for_event(self, name):
-        """Wait until a process has logged an event."""
+    def wait_for_event(self, name, host="*"):
+        """Wait until a process has logged an event, by default any one."""
         text = f'"name":"{name}"'
         until = monotonic() + START_TIMEOUT_S
-        while not any(text in log.read_text() for log in self.folder.glob("*.log")):
+        while not any(
+            text in log.read_text() for log in self.folder.glob(f"{host}.log")
+        ):
             assert monotonic() < until, f"no {name} within {START_TIMEOUT_S} s"
             sleep(0.05)
 
@@ -475,6 +477,9 @@
 @pytest.mark.processes
 def test_killed_balancer_recovers_while_the_store_is_down(fleet):
     """With the store down, a restarted balancer pulls the view from its peers."""
+    # An answered request shows that the balancer has a view, not that its peers do.
+    for host in fleet.targets:
+        fleet.wait_for_event("view-changed", host)
     fleet.store.is_down = True
     process = fleet.processes.pop("127.0.1.1")
     process.kill()
