Add the types for restored stores, evacuated zones and cold targets

A view has the era of the store and the evacuated availability zones, a configuration the warm-up of its services, and the settings the limits that the platform states for both.

--- a/src/balsamtide/fleet/change_log.py
+++ b/src/balsamtide/fleet/change_log.py
@@ -116,6 +116,10 @@
         The whole configuration, its changes, or None if it is the same.
     targets : mapping of str to FlowTarget or None
         Changed targets by name, None for a removed one; all targets of a whole view.
+    era : int
+        Era of both revisions.
+    evacuated_zones : frozenset of str or None
+        All evacuated availability zones, None if the sender does not know of them.
     """
 
     base: int
@@ -124,6 +128,8 @@
     settles_at: float
     configuration: FlowConfiguration | RouteChanges | None
     targets: Mapping[str, FlowTarget | None]
+    era: int = 0
+    evacuated_zones: frozenset[str] | None = None
 
     @property
     def is_whole(self) -> bool:
--- a/src/balsamtide/fleet/merge.py
+++ b/src/balsamtide/fleet/merge.py
@@ -6,6 +6,7 @@
 from balsamtide.fleet.change_log import RouteChanges, ViewUpdate
 from balsamtide.fleet.store import (
     ConfigurationChange,
+    EvacuationChange,
     Listing,
     StoreChanges,
     TargetChange,
@@ -86,9 +87,17 @@
         return view
     targets: dict[str, FlowTarget | None] = {}
     configuration = view.configuration
+    evacuated_zones = view.evacuated_zones
     for change in changes.changes:
         if isinstance(change, ConfigurationChange):
             configuration = _newer_configuration(configuration, change.configuration)
+        elif isinstance(change, EvacuationChange):
+            zone = frozenset({change.zone})
+            evacuated_zones = (
+                evacuated_zones | zone
+                if change.is_evacuated
+                else evacuated_zones - zone
+            )
         else:
             known = targets.get(change.name, view.targets.get(change.name))
             targets[change.name] = _after_change(known, change, grace_until, now)
@@ -96,6 +105,7 @@
         revision=changes.revision,
         targets=targets,
         configuration=configuration,
+        evacuated_zones=evacuated_zones,
         settles_at=grace_until,
     )
 
--- a/src/balsamtide/fleet/store.py
+++ b/src/balsamtide/fleet/store.py
@@ -7,6 +7,7 @@
 
 __all__ = [
     "ConfigurationChange",
+    "EvacuationChange",
     "FleetStore",
     "HistoryGoneError",
     "Listing",
@@ -50,21 +51,32 @@
     configuration: FlowConfiguration
 
 
+@dataclass(frozen=True, slots=True)
+class EvacuationChange:
+    """Start or end of the evacuation of an availability zone."""
+
+    zone: str
+    is_evacuated: bool
+
+
 @dataclass(frozen=True, slots=True)
 class Listing:
-    """Full contents of the store, at least as new as ``revision``."""
+    """Full contents of the store, at least as new as ``revision`` of ``era``."""
 
     revision: int
     configuration: FlowConfiguration | None
     targets: tuple[FlowTarget, ...]
+    era: int = 0
+    evacuated_zones: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
 class StoreChanges:
-    """Changes up to ``revision``, in order."""
+    """Changes up to ``revision`` of ``era``, in order."""
 
     revision: int
-    changes: tuple[TargetChange | ConfigurationChange, ...]
+    changes: tuple[TargetChange | ConfigurationChange | EvacuationChange, ...]
+    era: int = 0
 
 
 class FleetStore(ABC):
--- a/src/balsamtide/fleet/view.py
+++ b/src/balsamtide/fleet/view.py
@@ -16,6 +16,7 @@
     "FlowRoute",
     "FlowTarget",
     "TargetState",
+    "WarmUp",
 ]
 
 MAX_U32 = 0xFFFFFFFF
@@ -57,6 +58,22 @@
         return self.shares[-1][0]
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WarmUp:
+    """Cold start of the targets of one service.
+
+    Parameters
+    ----------
+    lasts_s : float
+        Time from the start of a target until it is warm, in seconds.
+    rate : float
+        New flows per second that a cold target can take.
+    """
+
+    lasts_s: float
+    rate: float
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class FlowConfiguration:
     """One version of the configuration.
@@ -71,12 +88,15 @@
         Names of all services.
     idle_timeout_s : float
         Time without packets after which a flow may be removed, in seconds.
+    warm_ups : mapping of str to WarmUp
+        Services whose cold targets take a limited rate of new flows, by name.
     """
 
     version: int
     routes: Mapping[tuple[int, int], FlowRoute]
     services: frozenset[str]
     idle_timeout_s: float
+    warm_ups: Mapping[str, WarmUp] = field(default_factory=dict)
 
 
 NO_CONFIGURATION = FlowConfiguration(
@@ -99,6 +119,10 @@
     return _scramble(crc32(text.encode()))
 
 
+def _zone_tag(zone: str) -> int:
+    return _scramble(crc32(f"evacuated {zone}".encode()))
+
+
 def _with_changes(
     targets: Mapping[str, FlowTarget], changes: Mapping[str, FlowTarget | None]
 ) -> dict[str, FlowTarget]:
@@ -136,20 +160,32 @@
     ----------
     revision : int
         Revision of the store, -1 before the first read.
+    era : int
+        Number of times that the store has been restored from a copy, 0 if it does not
+        say.  Revisions are given out again in each era.
     configuration : FlowConfiguration
         Newest configuration.
     targets : mapping of str to FlowTarget
         By name.
+    evacuated_zones : frozenset of str
+        Availability zones whose targets take no new flows.
     settles_at : float
         Local time until which missing targets may come back after an outage of the
         store.
     """
 
     revision: int = -1
+    era: int = 0
     configuration: FlowConfiguration = NO_CONFIGURATION
     targets: Mapping[str, FlowTarget] = field(default_factory=dict)
+    evacuated_zones: frozenset[str] = frozenset()
     settles_at: float = -inf
 
+    @property
+    def position(self) -> tuple[int, int]:
+        """Era and revision; the view with the higher position is newer."""
+        return self.era, self.revision
+
     @cached_property
     def by_service(self) -> dict[str, tuple[FlowTarget, ...]]:
         """Targets of each service, in order of their names."""
@@ -183,9 +219,10 @@
 
     @property
     def content_tag(self) -> int:
-        """Checksum of the configuration version and the targets, to compare views."""
+        """Checksum of version, targets and evacuated zones, to compare views."""
         version_tag = _scramble(crc32(str(self.configuration.version).encode()))
-        return (self.targets_tag + version_tag) & MAX_U32
+        zones_tag = sum(map(_zone_tag, self.evacuated_zones))
+        return (self.targets_tag + version_tag + zones_tag) & MAX_U32
 
     def changed(
         self,
@@ -193,6 +230,7 @@
         revision: int,
         targets: Mapping[str, FlowTarget | None] | None = None,
         configuration: FlowConfiguration | None = None,
+        evacuated_zones: frozenset[str] | None = None,
         settles_at: float = -inf,
     ) -> "FleetView":
         """Return the view after some changes.
@@ -207,14 +245,20 @@
             Changed targets by name, None for a removed one.
         configuration : FlowConfiguration or None
             New configuration, None if it is the same.
+        evacuated_zones : frozenset of str or None
+            Evacuated availability zones, None if they are the same.
         settles_at : float
             Local time until which missing targets may come back, if later than before.
         """
         changes = targets or {}
         after = FleetView(
             revision=revision,
+            era=self.era,
             configuration=configuration or self.configuration,
             targets=_with_changes(self.targets, changes) if changes else self.targets,
+            evacuated_zones=(
+                self.evacuated_zones if evacuated_zones is None else evacuated_zones
+            ),
             settles_at=max(self.settles_at, settles_at),
         )
         if not changes:
@@ -270,7 +314,9 @@
     def is_eligible(self, target: FlowTarget, now: float) -> bool:
         """Whether a target takes new flows.
 
-        If an address was reused, only the most recently started target counts.
+        The evacuation of availability zones is not considered here, since a zone is
+        emptied and filled gradually.  If an address was reused, only the most recently
+        started target counts.
         """
         return target.takes_new_flows(now) and self.by_host[target.host] is target
 
--- a/src/balsamtide/flow_node/settings.py
+++ b/src/balsamtide/flow_node/settings.py
@@ -10,6 +10,7 @@
     "FlowSettings",
     "FlowSettingsError",
     "StoreLimits",
+    "WarmUpLimit",
 ]
 
 Address = tuple[str, int]
@@ -52,6 +53,22 @@
     history_s: float
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WarmUpLimit:
+    """Most new flows that a cold target may get within any second.
+
+    Parameters
+    ----------
+    factor : float
+        Multiple of the rate that the service's warm-up states.
+    margin : float
+        Flows that are added to it.
+    """
+
+    factor: float
+    margin: float
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class AgentTarget:
     """The target next to an agent.
@@ -111,6 +128,13 @@
         Target of an agent, None for a balancer.
     metrics_port : int
         TCP port of the metrics endpoint, 0 to disable it.
+    zones : tuple of str
+        All availability zones, in ascending order.
+    warm_up_limit : WarmUpLimit or None
+        Limit for cold targets, None if the platform states none.
+    evacuation_timeout_s : float or None
+        Time within which the targets of an evacuated availability zone get no more new
+        flows, in seconds; None if the platform evacuates no zones.
     """
 
     instance: str
@@ -128,3 +152,6 @@
     flow_lifetime_s: float
     agent: AgentTarget | None = None
     metrics_port: int = 0
+    zones: tuple[str, ...] = ()
+    warm_up_limit: WarmUpLimit | None = None
+    evacuation_timeout_s: float | None = None
--- a/src/balsamtide/platform/settings.py
+++ b/src/balsamtide/platform/settings.py
@@ -16,6 +16,7 @@
     FlowSettings,
     FlowSettingsError,
     StoreLimits,
+    WarmUpLimit,
 )
 from balsamtide.transport.addresses import parse_ipv4
 
@@ -58,6 +59,19 @@
     def host(self, path: str) -> str:
         return self._check_host(path, self.get(path, str, "0.0.0.0"))
 
+    def has(self, path: str) -> bool:
+        """Whether a field has a value."""
+        value: Any = self.document
+        for name in path.split("."):
+            value = value.get(name) if isinstance(value, Mapping) else None
+        return value is not None
+
+    def names(self, path: str) -> tuple[str, ...]:
+        """Return the keys of a table that may be missing, in ascending order."""
+        if not self.has(path):
+            return ()
+        return tuple(sorted(str(name) for name in self.get(path, Mapping, {})))
+
     def first_port(self, path: str) -> int:
         ports = self.get(path, list, [0])
         return self.parse_port(path, str(ports[0]) if ports else "")
@@ -169,6 +183,22 @@
         flow_lifetime_s=fields.number("bounds.flowTtlS"),
         agent=_decode_agent(fields) if is_agent else None,
         metrics_port=_read_metrics_port(fields),
+        zones=fields.names("zones"),
+        warm_up_limit=_decode_warm_up_limit(fields),
+        evacuation_timeout_s=(
+            fields.number("bounds.evacuateMs") / 1000
+            if fields.has("bounds.evacuateMs")
+            else None
+        ),
+    )
+
+
+def _decode_warm_up_limit(fields: _FieldReader) -> WarmUpLimit | None:
+    if not fields.has("bounds.warmupExcess"):
+        return None
+    return WarmUpLimit(
+        factor=fields.number("bounds.warmupExcess"),
+        margin=fields.number("bounds.warmupMargin"),
     )
 
 
