Add the wire format of eras and load reports in digests

The era's lower bits use flags that earlier builds ignore. Load reports follow the claims only for peers whose digests announce that they understand them.

--- a/src/balsamtide/fleet/view_gossip.py
+++ b/src/balsamtide/fleet/view_gossip.py
@@ -10,6 +10,7 @@
 from random import Random
 from zlib import crc32
 
+from balsamtide.fleet.load_exchange import LoadExchange
 from balsamtide.fleet.merge import LAPSE_GRACE_S, newer_view
 from balsamtide.fleet.view import FleetView
 from balsamtide.fleet.view_exchange import ViewExchange
@@ -73,12 +74,21 @@
         Chooses peers and delays.
     now : float
         Local time in seconds.
+    loads : LoadExchange or None
+        Loads of targets that are sent and received with digests.
     """
 
     def __init__(
-        self, *, host: int, seeds: Iterable[int], random: Random, now: float
+        self,
+        *,
+        host: int,
+        seeds: Iterable[int],
+        random: Random,
+        now: float,
+        loads: LoadExchange | None = None,
     ) -> None:
         self.host = host
+        self.loads = loads
         self.set_seeds(seeds)
         self.random = random
         self.view = FleetView()
--- a/src/balsamtide/protocol/flow_frames.py
+++ b/src/balsamtide/protocol/flow_frames.py
@@ -27,6 +27,7 @@
     "DisownReason",
     "Frame",
     "Leaving",
+    "LoadReport",
     "Locate",
     "Located",
     "MarkedLeaving",
@@ -41,6 +42,7 @@
 KEY_BYTES = 12
 MAX_VISITED = 15
 MAX_CLAIMS = 3
+MAX_LOAD_REPORTS = 16
 LOAD_UNIT = 100  # Loads are sent in hundredths.
 MAX_U16 = 0xFFFF
 MAX_U32 = 0xFFFFFFFF
@@ -334,7 +336,18 @@
 
 DIGEST = Struct(">BBqIIIB")
 CLAIM = Struct(">II")
+LOAD_REPORT = Struct(">IHH")
+MAX_LOADS_SIZE = MAX_LOAD_REPORTS * LOAD_REPORT.size
+LOAD_AGE_UNIT_S = 0.01
 IS_REPLY = 1
+# The lower bits of the era follow in the flags if this bit is set.  Processes that do
+# not know eras ignore these bits, and reject digests of an unexpected length.
+HAS_ERA = 2
+ERA_SHIFT = 2
+ERA_BITS = 5
+ERA_MASK = (1 << ERA_BITS) - 1
+# The sender understands load reports behind the claims.
+UNDERSTANDS_LOADS = 0x80
 
 
 @dataclass(frozen=True, slots=True)
@@ -353,6 +366,25 @@
     age_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """Load of one target.
+
+    Parameters
+    ----------
+    host : int
+        Instance of the target's agent.
+    load : float
+        Requests per slot at the target.
+    age_s : float
+        Time since the agent measured it.
+    """
+
+    host: int
+    load: float
+    age_s: float
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Digest:
     """What the sender knows of the store.
@@ -371,6 +403,13 @@
         Instances that read the store.
     is_reply : bool
         Whether this answers a digest, so that it is not answered again.
+    era_bits : int or None
+        The era modulo 32, None if the sender does not know eras or the store has none.
+    understands_loads : bool
+        Whether the sender accepts digests with load reports.
+    loads : tuple of LoadReport
+        Loads of some targets, at most `MAX_LOAD_REPORTS`; only for receivers that
+        understand them.
     """
 
     revision: int
@@ -379,12 +418,18 @@
     settles_s: float = 0.0
     claims: tuple[ReaderClaim, ...] = ()
     is_reply: bool = False
+    era_bits: int | None = None
+    understands_loads: bool = False
+    loads: tuple[LoadReport, ...] = ()
 
     def encode(self) -> bytes:
         """Return the frame's octets."""
+        flags = IS_REPLY * self.is_reply | UNDERSTANDS_LOADS * self.understands_loads
+        if self.era_bits is not None:
+            flags |= HAS_ERA | (self.era_bits & ERA_MASK) << ERA_SHIFT
         head = DIGEST.pack(
             FrameKind.DIGEST,
-            IS_REPLY * self.is_reply,
+            flags,
             self.revision,
             self.content_tag,
             _u32(self.age_s * 1000),
@@ -392,16 +437,32 @@
             len(self.claims),
         )
         claims = [CLAIM.pack(c.host, _u32(c.age_s * 1000)) for c in self.claims]
-        return head + b"".join(claims)
+        loads = [
+            LOAD_REPORT.pack(
+                report.host,
+                _u16(report.load * LOAD_UNIT),
+                _u16(report.age_s / LOAD_AGE_UNIT_S),
+            )
+            for report in self.loads
+        ]
+        return head + b"".join(claims + loads)
 
 
 def _decode_digest(data: bytes) -> Digest:
     _, flags, revision, tag, age, settles, count = DIGEST.unpack_from(data)
-    if count > MAX_CLAIMS or len(data) != DIGEST.size + count * CLAIM.size:
+    claims_end = DIGEST.size + count * CLAIM.size
+    loads_size = len(data) - claims_end
+    if count > MAX_CLAIMS or loads_size < 0:
         raise DecodeError(DecodeFault.MALFORMED, f"{count} reader claims")
+    if loads_size % LOAD_REPORT.size or loads_size > MAX_LOADS_SIZE:
+        raise DecodeError(DecodeFault.MALFORMED, f"{loads_size} octets of loads")
     claims = tuple(
         ReaderClaim(host, age_ms / 1000)
-        for host, age_ms in CLAIM.iter_unpack(data[DIGEST.size :])
+        for host, age_ms in CLAIM.iter_unpack(data[DIGEST.size : claims_end])
+    )
+    loads = tuple(
+        LoadReport(host, load / LOAD_UNIT, age * LOAD_AGE_UNIT_S)
+        for host, load, age in LOAD_REPORT.iter_unpack(data[claims_end:])
     )
     return Digest(
         revision=revision,
@@ -410,6 +471,9 @@
         settles_s=settles / 1000,
         claims=claims,
         is_reply=flags & IS_REPLY != 0,
+        era_bits=flags >> ERA_SHIFT & ERA_MASK if flags & HAS_ERA else None,
+        understands_loads=flags & UNDERSTANDS_LOADS != 0,
+        loads=loads,
     )
 
 
