List the store after an oversized watch response

A watch returns all changes since a revision, without a limit. A reader took a response that was too long for an outage and repeated the same watch, so that the fleet learned nothing more while the store kept these changes.

--- a/src/balsamtide/fleet/store.py
+++ b/src/balsamtide/fleet/store.py
@@ -11,6 +11,7 @@
     "FleetStore",
     "HistoryGoneError",
     "Listing",
+    "ResponseTooLargeError",
     "StoreChanges",
     "StoreError",
     "TargetChange",
@@ -25,6 +26,10 @@
     """Raised when the store no longer has the requested changes."""
 
 
+class ResponseTooLargeError(StoreError):
+    """Raised when a response exceeds what a process reads at once."""
+
+
 @dataclass(frozen=True, slots=True)
 class TargetChange:
     """New state of a target's record.
@@ -94,4 +99,6 @@
         ------
         HistoryGoneError
             If the store no longer has the changes after ``after``.
+        ResponseTooLargeError
+            If the changes are too large to be read at once.
         """
--- a/src/balsamtide/flow_node/events.py
+++ b/src/balsamtide/flow_node/events.py
@@ -63,8 +63,8 @@
     number=935,
     name="store-lost",
     level=Level.WARNING,
-    meaning="A request to the platform's store failed, or the store has discarded "
-    "the changes to be read and is read in full.",
+    meaning="A request to the platform's store failed, or the changes to be read "
+    "were discarded there or are too large, and the store is read in full.",
     action="Check the store; the fleet continues with its last known view.",
     fields={"reason": "error of the request"},
 )
--- a/src/balsamtide/flow_node/http_connection.py
+++ b/src/balsamtide/flow_node/http_connection.py
@@ -13,7 +13,7 @@
     Response,
 )
 
-from balsamtide.fleet.store import StoreError
+from balsamtide.fleet.store import ResponseTooLargeError, StoreError
 from balsamtide.flow_node.http import ConnectionLostError, HttpResponse
 
 __all__ = ["HttpConnection"]
@@ -63,8 +63,10 @@
         ------
         ConnectionLostError
             If the connection ended before the first byte of the response.
+        ResponseTooLargeError
+            If the body is too long.
         StoreError
-            If the response is not valid HTTP, too long or truncated.
+            If the response is not valid HTTP or truncated.
         """
         if not data and not self.has_response_begun:
             raise self.failure("the server closed the connection")
@@ -81,6 +83,12 @@
         kind = StoreError if self.has_response_begun else ConnectionLostError
         return kind(f"{self.host}: {reason}")
 
+    def _check_length(self, length: int) -> None:
+        if length > MAX_BODY_BYTES:
+            raise ResponseTooLargeError(
+                f"{self.host}: response body exceeds {MAX_BODY_BYTES} bytes"
+            )
+
     def _next_response(self) -> HttpResponse | None:
         while True:
             event = self.connection.next_event()
@@ -88,12 +96,10 @@
                 return None
             if isinstance(event, Response):
                 self.status = event.status_code
+                self._check_length(_announced_length(event))
             elif isinstance(event, Data):
                 self.body += event.data
-                if len(self.body) > MAX_BODY_BYTES:
-                    raise StoreError(
-                        f"{self.host}: response body exceeds {MAX_BODY_BYTES} bytes"
-                    )
+                self._check_length(len(self.body))
             elif isinstance(event, EndOfMessage):
                 return HttpResponse(self.status, bytes(self.body))
             elif isinstance(event, ConnectionClosed):
@@ -101,3 +107,13 @@
                     f"{self.host}: the server closed the connection after "
                     f"{len(self.body)} bytes of the response body"
                 )
+
+
+def _announced_length(response: Response) -> int:
+    """Return the length of the body if the response states it, else 0.
+
+    The body of an oversized response need not be received then.
+    """
+    # h11 has checked that the value is a number.
+    values = (value for name, value in response.headers if name == b"content-length")
+    return int(next(values, b"0"))
--- a/src/balsamtide/flow_node/store_reader.py
+++ b/src/balsamtide/flow_node/store_reader.py
@@ -11,7 +11,13 @@
 from trio import current_time, sleep
 
 from balsamtide.fleet.merge import LAPSE_GRACE_S, with_changes, with_listing
-from balsamtide.fleet.store import FleetStore, HistoryGoneError, StoreError
+from balsamtide.fleet.store import (
+    FleetStore,
+    HistoryGoneError,
+    ResponseTooLargeError,
+    StoreChanges,
+    StoreError,
+)
 from balsamtide.fleet.view import FleetView
 from balsamtide.fleet.view_gossip import ViewGossip
 from balsamtide.flow_node.events import STORE_BACK, STORE_LOST, STORE_READING
@@ -73,7 +79,7 @@
         # Targets without a record are kept as lapsed until this time.
         self.grace_until = -inf
         self.backoff_s = MIN_BACKOFF_S
-        # Set if the store has discarded the changes since the view's revision.
+        # Set if the changes since the view's revision can't be read.
         self.needs_listing = False
         self.is_reading = False
 
@@ -97,16 +103,14 @@
     async def _read(self) -> None:
         try:
             view = await self._read_view()
-        except HistoryGoneError as error:
-            self.sink.count(STORE_CALLS, outcome="history-gone")
-            self.sink.event(STORE_LOST, reason=str(error))
-            self.needs_listing = True
         except StoreError as error:
             await self._back_off(error)
         else:
-            self._apply_view(view)
+            if view is not None:
+                self._apply_view(view)
 
-    async def _read_view(self) -> FleetView:
+    async def _read_view(self) -> FleetView | None:
+        """Return the view after a read, None if the store has to be listed next."""
         current = self.gossip.view
         # The revision is negative until a view was read or pulled.
         if self.needs_listing or current.revision < 0:
@@ -119,7 +123,10 @@
                 grace_until=self.grace_until,
                 now=current_time(),
             )
-        changes = await self.store.watch(current.revision)
+        changes = await self._watch(current.revision)
+        if changes is None:
+            self.needs_listing = True
+            return None
         self._record_success()
         return with_changes(
             self.gossip.view,
@@ -128,6 +135,21 @@
             now=current_time(),
         )
 
+    async def _watch(self, revision: int) -> StoreChanges | None:
+        """Return the changes after a revision, None if they can't be read."""
+        try:
+            return await self.store.watch(revision)
+        except HistoryGoneError as error:
+            self._report_unreadable("history-gone", error)
+        except ResponseTooLargeError as error:
+            # Another attempt would get a response that is at least as long.
+            self._report_unreadable("too-large", error)
+        return None
+
+    def _report_unreadable(self, outcome: str, error: StoreError) -> None:
+        self.sink.count(STORE_CALLS, outcome=outcome)
+        self.sink.event(STORE_LOST, reason=str(error))
+
     def _record_success(self) -> None:
         self.sink.count(STORE_CALLS, outcome="answered")
         if self.outage_started_at < inf:
