Read and pass on evacuations and warm-ups

A full read gets the configuration and the evacuation keys with one range, in place of the call for the configuration. Changes, updates between processes and the log line of a changed view have the evacuated zones; configurations have the warm-up of services. An update of an earlier build leaves evacuations and warm-ups as they are.

The scripted responses of two listing tests follow the changed calls; what they check is the same or more.

--- a/src/balsamtide/fleet/change_log.py
+++ b/src/balsamtide/fleet/change_log.py
@@ -4,7 +4,13 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from balsamtide.fleet.view import FleetView, FlowConfiguration, FlowRoute, FlowTarget
+from balsamtide.fleet.view import (
+    FleetView,
+    FlowConfiguration,
+    FlowRoute,
+    FlowTarget,
+    WarmUp,
+)
 
 __all__ = [
     "ChangeLog",
@@ -36,6 +42,8 @@
         Time without packets after which a flow may be removed, in seconds.
     routes : mapping of (int, int) to FlowRoute or None
         Changed routes by address; None for a removed one.
+    warm_ups : mapping of str to WarmUp or None
+        All warm-ups by service, None if the sender does not know of them.
     """
 
     base: int
@@ -43,6 +51,7 @@
     services: frozenset[str]
     idle_timeout_s: float
     routes: Mapping[Address, FlowRoute | None]
+    warm_ups: Mapping[str, WarmUp] | None = None
 
     def apply(self, configuration: FlowConfiguration) -> FlowConfiguration:
         """Return the resulting configuration.
@@ -68,6 +77,9 @@
             routes=routes,
             services=self.services,
             idle_timeout_s=self.idle_timeout_s,
+            warm_ups=(
+                configuration.warm_ups if self.warm_ups is None else self.warm_ups
+            ),
         )
 
     def followed_by(self, later: "RouteChanges") -> "RouteChanges":
@@ -78,6 +90,7 @@
             services=later.services,
             idle_timeout_s=later.idle_timeout_s,
             routes={**self.routes, **later.routes},
+            warm_ups=later.warm_ups,
         )
 
 
@@ -95,6 +108,7 @@
         services=after.services,
         idle_timeout_s=after.idle_timeout_s,
         routes=routes,
+        warm_ups=after.warm_ups,
     )
 
 
@@ -169,7 +183,8 @@
         if after.configuration.version != before.configuration.version:
             routes = route_changes(before.configuration, after.configuration)
         targets = _target_changes(before, after)
-        if not targets and routes is None:
+        has_same_zones = after.evacuated_zones == before.evacuated_zones
+        if not targets and routes is None and has_same_zones:
             return
         self.entries.append(_Entry(after.revision, targets, routes))
         if len(self.entries) > self.max_entries:
@@ -186,6 +201,7 @@
                 settles_at=view.settles_at,
                 configuration=view.configuration,
                 targets=view.targets,
+                evacuated_zones=view.evacuated_zones,
             )
         targets: dict[str, FlowTarget | None] = {}
         for entry in self.entries:
@@ -198,6 +214,7 @@
             settles_at=view.settles_at,
             configuration=self._configuration_for(view, version),
             targets=targets,
+            evacuated_zones=view.evacuated_zones,
         )
 
     def _configuration_for(
--- a/src/balsamtide/fleet/merge.py
+++ b/src/balsamtide/fleet/merge.py
@@ -75,6 +75,7 @@
         revision=listing.revision,
         configuration=_newer_configuration(view.configuration, listing.configuration),
         targets=targets,
+        evacuated_zones=listing.evacuated_zones,
         settles_at=max(view.settles_at, grace_until),
     )
 
@@ -133,6 +134,7 @@
             current.configuration, received.configuration
         ),
         targets=_without_forgotten(received.targets, now),
+        evacuated_zones=received.evacuated_zones,
         settles_at=max(current.settles_at, received.settles_at),
     )
 
@@ -150,11 +152,16 @@
     configuration = update.configuration
     if isinstance(configuration, RouteChanges):
         configuration = _with_route_changes(view.configuration, configuration)
+    zones = update.evacuated_zones
+    if zones is None:
+        # An earlier build does not know of evacuations.
+        zones = view.evacuated_zones
     if update.is_whole:
         whole = FleetView(
             revision=update.revision,
             configuration=configuration or view.configuration,
             targets={n: t for n, t in update.targets.items() if t is not None},
+            evacuated_zones=zones,
             settles_at=update.settles_at,
         )
         return newer_view(view, whole, now)
@@ -170,6 +177,7 @@
         revision=update.revision,
         targets=targets,
         configuration=_newer_configuration(view.configuration, configuration),
+        evacuated_zones=zones,
         settles_at=update.settles_at,
     )
 
--- a/src/balsamtide/fleet/view_codec.py
+++ b/src/balsamtide/fleet/view_codec.py
@@ -15,6 +15,7 @@
     FlowRoute,
     FlowTarget,
     TargetState,
+    WarmUp,
 )
 
 __all__ = ["ViewDecodeError", "decode_update", "encode_update"]
@@ -23,6 +24,7 @@
 MAX_UPDATE_BYTES = 16_000_000
 # Raised by the decoding of an update that a peer of another version may send.
 UNUSABLE_ERRORS = (
+    AttributeError,
     IndexError,
     KeyError,
     OverflowError,
@@ -39,7 +41,7 @@
 
 def encode_update(update: ViewUpdate, *, now: float) -> bytes:
     """Encode an update as of ``now``."""
-    document = {
+    document: dict[str, Any] = {
         "base": update.base,
         "revision": update.revision,
         "tag": update.content_tag,
@@ -48,6 +50,9 @@
         "targets": [_target_row(t, now) for t in update.targets.values() if t],
         "removed": [name for name, target in update.targets.items() if target is None],
     }
+    # Earlier builds ignore the fields that they do not know.
+    if update.evacuated_zones is not None:
+        document["evacuated"] = sorted(update.evacuated_zones)
     return compress(dumps(document, separators=(",", ":")).encode())
 
 
@@ -56,7 +61,7 @@
 ) -> dict[str, Any] | None:
     if configuration is None:
         return None
-    fields = {
+    fields: dict[str, Any] = {
         "version": configuration.version,
         "idle_timeout_s": configuration.idle_timeout_s,
         "services": sorted(configuration.services),
@@ -66,6 +71,11 @@
             if route is not None
         ],
     }
+    if configuration.warm_ups is not None:
+        fields["warm_ups"] = {
+            service: [warm_up.lasts_s, warm_up.rate]
+            for service, warm_up in configuration.warm_ups.items()
+        }
     if isinstance(configuration, RouteChanges):
         fields["base"] = configuration.base
         fields["removed"] = [
@@ -123,6 +133,7 @@
             settles_at=encoded_at + settles_s if settles_s else -inf,
             configuration=_configuration(document["configuration"]),
             targets=targets,
+            evacuated_zones=_zones(document.get("evacuated")),
         )
     except UNUSABLE_ERRORS as error:
         raise ViewDecodeError(f"{type(error).__name__}: {error}") from error
@@ -138,6 +149,24 @@
     return text
 
 
+def _zones(names: list[str] | None) -> frozenset[str] | None:
+    if names is None:
+        return None
+    for name in names:
+        # Raises an error for a name that is no text, or that no encoding holds.
+        name.encode()
+    return frozenset(names)
+
+
+def _warm_ups(fields: dict[str, list[float]] | None) -> dict[str, WarmUp] | None:
+    if fields is None:
+        return None
+    return {
+        service: WarmUp(lasts_s=float(lasts_s), rate=float(rate))
+        for service, (lasts_s, rate) in fields.items()
+    }
+
+
 def _configuration(
     fields: dict[str, Any] | None,
 ) -> FlowConfiguration | RouteChanges | None:
@@ -147,12 +176,14 @@
     version = int(fields["version"])
     services = frozenset(fields["services"])
     idle_timeout_s = float(fields["idle_timeout_s"])
+    warm_ups = _warm_ups(fields.get("warm_ups"))
     if "base" not in fields:
         return FlowConfiguration(
             version=version,
             routes=routes,
             services=services,
             idle_timeout_s=idle_timeout_s,
+            warm_ups=warm_ups or {},
         )
     changes: dict[tuple[int, int], FlowRoute | None] = {
         (host, port): None for host, port in fields["removed"]
@@ -164,6 +195,7 @@
         services=services,
         idle_timeout_s=idle_timeout_s,
         routes=changes,
+        warm_ups=warm_ups,
     )
 
 
--- a/src/balsamtide/flow_node/events.py
+++ b/src/balsamtide/flow_node/events.py
@@ -86,10 +86,12 @@
     number=938,
     name="view-changed",
     level=Level.INFO,
-    meaning="Routes or targets changed in this process's view.",
+    meaning="Routes, targets or evacuations changed in this process's view.",
     fields={
         "version": "configuration version of the view",
         "revision": "revision of the store",
+        "era": "number of times that the store was restored, as far as it says",
+        "evacuated": "availability zones whose targets take no new flows",
         "source": "the store, or the address of the process that sent the view",
         "age_ms": "time since a reader confirmed the view as the newest, milliseconds",
         "targets": "changed targets with their states",
--- a/src/balsamtide/flow_node/runtime.py
+++ b/src/balsamtide/flow_node/runtime.py
@@ -167,12 +167,14 @@
         """Report a changed view and execute the actions that follow from it."""
         view = self.gossip.view
         now = boot_time()
-        # The content tag is a checksum of the configuration version and the targets.
+        # The tag covers the configuration version, the targets and the evacuations.
         if view.content_tag != before.content_tag:
             self.sink.event(
                 VIEW_CHANGED,
                 version=view.configuration.version,
                 revision=view.revision,
+                era=view.era,
+                evacuated=" ".join(sorted(view.evacuated_zones)),
                 source=source,
                 age_ms=round(self.gossip.age(now) * 1000),
                 targets=" ".join(_changed_targets(before, view)),
--- a/src/balsamtide/platform/documents.py
+++ b/src/balsamtide/platform/documents.py
@@ -9,18 +9,25 @@
     FlowRoute,
     FlowTarget,
     TargetState,
+    WarmUp,
 )
 from balsamtide.transport.addresses import parse_ipv4
 
 __all__ = [
     "CONFIGURATION_KEY",
+    "EVACUATION_PREFIX",
+    "OPERATOR_PREFIX",
     "TARGET_PREFIX",
     "DocumentError",
     "decode_configuration",
     "decode_target",
+    "decode_zone",
 ]
 
+# Keys that the operator writes: the configuration and the evacuations.
+OPERATOR_PREFIX = "op/"
 CONFIGURATION_KEY = "op/config"
+EVACUATION_PREFIX = "op/evacuate/"
 TARGET_PREFIX = "servers/"
 TARGET_STATES = {"ready": TargetState.READY, "draining": TargetState.DRAINING}
 MAX_PORT = 65535
@@ -28,6 +35,8 @@
 MAX_INTEGER = 2**63 - 1
 # Milliseconds; a floating-point number holds them and their sum with a local time.
 MAX_DURATION_MS = 2**53
+# Flows per second; far beyond what a target can take.
+MAX_RATE = 10**9
 # Every process holds the names of all targets, and sends them to its peers.
 MAX_NAME_BYTES = 1024
 
@@ -72,7 +81,7 @@
     types: type | tuple,
     *,
     minimum: int,
-    maximum: int,
+    maximum: float,
 ) -> Any:
     value = _field(document, name, types)
     # False for NaN as well, which `loads` accepts.
@@ -161,6 +170,17 @@
     )
 
 
+def decode_zone(key: str) -> str:
+    """Return the availability zone that an evacuation key names.
+
+    Raises
+    ------
+    DocumentError
+        If the name is too long or not valid.
+    """
+    return _check_name(key.removeprefix(EVACUATION_PREFIX), "availability zone")
+
+
 def decode_configuration(data: bytes) -> FlowConfiguration:
     """Decode the operator's configuration.
 
@@ -171,13 +191,14 @@
     """
     document = _parse_object(data)
     routes = dict(_decode_items(document, "routes", _decode_route))
-    services = frozenset(_decode_items(document, "services", _decode_service_name))
+    services = dict(_decode_items(document, "services", _decode_service))
     limits = _field(document, "limits", dict)
     return FlowConfiguration(
         version=_integer(document, "version", minimum=0),
         routes=routes,
-        services=services,
+        services=frozenset(services),
         idle_timeout_s=_duration_s(limits, "idleTimeoutMs"),
+        warm_ups={name: warm_up for name, warm_up in services.items() if warm_up},
     )
 
 
@@ -190,8 +211,21 @@
     return [decode(item) for item in items]
 
 
-def _decode_service_name(document: dict) -> str:
-    return _name(document, "name")
+def _decode_service(document: dict) -> tuple[str, WarmUp | None]:
+    name = _name(document, "name")
+    rate = _optional_number(document, "warmupPerS", maximum=MAX_RATE)
+    lasts_s = _optional_number(document, "warmupS", maximum=MAX_DURATION_MS / 1000)
+    return name, WarmUp(lasts_s=lasts_s, rate=rate) if rate else None
+
+
+def _optional_number(
+    document: Mapping[str, Any], name: str, *, maximum: float
+) -> float:
+    """Return a number that is not negative, 0 if the document does not have it."""
+    if document.get(name) is None:
+        return 0.0
+    types = (int, float)
+    return float(_number(document, name, types, minimum=0, maximum=maximum))
 
 
 def _decode_route(document: dict) -> tuple[tuple[int, int], FlowRoute]:
--- a/src/balsamtide/platform/store.py
+++ b/src/balsamtide/platform/store.py
@@ -2,13 +2,14 @@
 
 from base64 import b64decode
 from binascii import Error as Base64Error
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from json import loads
 from typing import Any
 
 from balsamtide.clock import boot_time
 from balsamtide.fleet.store import (
     ConfigurationChange,
+    EvacuationChange,
     FleetStore,
     HistoryGoneError,
     Listing,
@@ -16,27 +17,29 @@
     StoreError,
     TargetChange,
 )
-from balsamtide.fleet.view import FlowConfiguration, FlowTarget
+from balsamtide.fleet.view import FlowConfiguration
 from balsamtide.flow_node.http import BaseHttpClient
 from balsamtide.platform.documents import (
     CONFIGURATION_KEY,
+    EVACUATION_PREFIX,
+    OPERATOR_PREFIX,
     TARGET_PREFIX,
     DocumentError,
     decode_configuration,
     decode_target,
+    decode_zone,
 )
 
 __all__ = ["PlatformStore"]
 
-KEY_PATH = "/-/kv-key"
 RANGE_PATH = "/-/kv-range"
 WATCH_PATH = "/-/kv-watch"
-# Empty prefix, so that one watch covers the configuration and all targets.
+# Empty prefix, so that one watch covers all keys.
 ALL_KEYS = ""
 OK = 200
-NOT_FOUND = 404
 GONE = 410
 
+Change = TargetChange | ConfigurationChange | EvacuationChange
 RejectCallback = Callable[[str, str], None]
 
 
@@ -61,25 +64,38 @@
         self.on_reject = on_reject
 
     async def read_all(self) -> Listing:
-        """Return the configuration and all targets in the store."""
-        entry = await self._call(KEY_PATH, {"key": CONFIGURATION_KEY}, (OK, NOT_FOUND))
-        # Taken before the pages are read, so that a watch from this revision misses no
-        # change that is made between the pages.
-        revision = _get_integer(entry, "storeRevision")
-        configuration = self._decode_configuration(entry) if "value" in entry else None
-        targets: list[FlowTarget] = []
-        after: str | None = None
+        """Return the configuration, all targets and the evacuated zones."""
+        # The revision of the first page, so that a watch from there misses no change
+        # that is made between the pages.
+        operator_items, revision = await self._read_range(OPERATOR_PREFIX)
+        target_items, _ = await self._read_range(TARGET_PREFIX)
+        configuration: FlowConfiguration | None = None
+        zones: set[str] = set()
+        for change in self._decode_changes(operator_items):
+            if isinstance(change, ConfigurationChange):
+                configuration = change.configuration
+            elif isinstance(change, EvacuationChange):
+                zones.add(change.zone)
+        reads = (self._decode_target(item) for item in target_items)
+        targets = tuple(read.target for read in reads if read.target is not None)
+        return Listing(
+            revision, configuration, targets, evacuated_zones=frozenset(zones)
+        )
+
+    async def _read_range(self, prefix: str) -> tuple[list[dict[str, Any]], int]:
+        """Return all items under a prefix, and the revision of the first page."""
+        found: list[dict[str, Any]] = []
+        revision: int | None = None
+        query = {"prefix": prefix}
         while True:
-            query = {"prefix": TARGET_PREFIX}
-            if after is not None:
-                query["after"] = after
             page = await self._call(RANGE_PATH, query)
+            if revision is None:
+                revision = _get_integer(page, "storeRevision")
             items = [i for i in _get_list(page, "items") if isinstance(i, dict)]
-            reads = (self._decode_target(item) for item in items)
-            targets.extend(read.target for read in reads if read.target is not None)
+            found += items
             if not page.get("morePages") or not items:
-                return Listing(revision, configuration, tuple(targets))
-            after = str(items[-1].get("key"))
+                return found, revision
+            query["after"] = str(items[-1].get("key"))
 
     async def watch(self, after: int) -> StoreChanges:
         """Return the changes that follow revision ``after``, waiting for the first one.
@@ -107,7 +123,6 @@
         self,
         path: str,
         query: Mapping[str, str | int],
-        allowed: tuple[int, ...] = (OK,),
         wait_s: float = 0.0,
     ) -> dict[str, Any]:
         # Imported with the first read, since a started process may not need one.
@@ -119,7 +134,7 @@
                 f"{path}: the history after revision {query.get('after')} is no longer "
                 "available"
             )
-        if response.status not in allowed:
+        if response.status != OK:
             raise StoreError(f"{path}: status {response.status}")
         try:
             document = loads(response.body)
@@ -129,15 +144,17 @@
             raise StoreError(f"{path}: the response is not a JSON object")
         return document
 
-    def _decode_changes(
-        self, events: Iterable[dict[str, Any]]
-    ) -> Iterable[TargetChange | ConfigurationChange]:
+    def _decode_changes(self, events: Iterable[dict[str, Any]]) -> Iterator[Change]:
         for event in events:
             key = str(event.get("key"))
             if key == CONFIGURATION_KEY:
                 configuration = self._decode_configuration(event)
                 if configuration is not None:
                     yield ConfigurationChange(configuration)
+            elif key.startswith(EVACUATION_PREFIX):
+                evacuation = self._decode_evacuation(key, event)
+                if evacuation is not None:
+                    yield evacuation
             elif key.startswith(TARGET_PREFIX):
                 yield self._decode_target(event)
 
@@ -150,6 +167,16 @@
             self.on_reject(CONFIGURATION_KEY, str(error))
             return None
 
+    def _decode_evacuation(
+        self, key: str, item: Mapping[str, Any]
+    ) -> EvacuationChange | None:
+        # The value does not matter: the zone is evacuated while the key exists.
+        try:
+            return EvacuationChange(decode_zone(key), not item.get("removed"))
+        except DocumentError as error:
+            self.on_reject(key, str(error))
+            return None
+
     def _decode_target(self, item: Mapping[str, Any]) -> TargetChange:
         key = str(item.get("key"))
         name = key.removeprefix(TARGET_PREFIX)
--- a/tests/fakes_platform.py
+++ b/tests/fakes_platform.py
@@ -13,6 +13,7 @@
     "ScriptedHttpClient",
     "item",
     "make_store",
+    "page",
     "raw_item",
     "run_to_end",
     "to_json",
@@ -87,6 +88,11 @@
     return raw_item(key, to_json(value), **fields)
 
 
+def page(*items: dict, revision: int = 9, has_more: bool = False) -> dict:
+    """Return one page of a range."""
+    return {"items": list(items), "morePages": has_more, "storeRevision": revision}
+
+
 def make_store(*responses: tuple[int, object]) -> tuple[PlatformStore, list]:
     """Return a store with scripted responses, and the list of rejected keys."""
     rejected: list[str] = []
--- a/tests/test_fleet_updates.py
+++ b/tests/test_fleet_updates.py
@@ -4,8 +4,9 @@
 from dataclasses import replace
 from heapq import heappop, heappush
 from itertools import count
+from json import dumps, loads
 from random import Random
-from zlib import compress
+from zlib import compress, decompress
 
 import pytest
 from hypothesis import settings
@@ -20,6 +21,7 @@
     FlowRoute,
     FlowTarget,
     TargetState,
+    WarmUp,
 )
 from balsamtide.fleet.view_codec import ViewDecodeError, decode_update, encode_update
 from balsamtide.fleet.view_gossip import (
@@ -94,20 +96,33 @@
     "addition": ({"i-0000ff": make_target(0xFF)}, None),
     "lapsed": ({"i-000002": make_target(2, state=LAPSED, forget_at=NOW + 2)}, None),
     "service": ({"i-000001": make_target(1, service="orders")}, None),
+    "warm-up": (
+        NO_CHANGE,
+        replace(
+            make_configuration(2), warm_ups={"orders": WarmUp(lasts_s=9.0, rate=2.0)}
+        ),
+    ),
     "new-route": (NO_CHANGE, make_configuration(2, 4)),
     "removed-route": (NO_CHANGE, make_configuration(2, 2)),
 }
 
 
+@pytest.mark.parametrize("zones", [frozenset(), frozenset({"zone-1"})])
 @pytest.mark.parametrize(("targets", "configuration"), CHANGES.values(), ids=CHANGES)
-def test_update_gives_the_view_of_a_full_read(targets, configuration):
+def test_update_gives_the_view_of_a_full_read(targets, configuration, zones):
     """A change gives a peer the same view as the whole view, with the same tags."""
     before = make_view(6)
-    after = before.changed(revision=11, targets=targets, configuration=configuration)
+    after = before.changed(
+        revision=11,
+        targets=targets,
+        configuration=configuration,
+        evacuated_zones=zones,
+    )
     read = FleetView(
         revision=11,
         configuration=after.configuration,
         targets={**before.targets, **targets},
+        evacuated_zones=zones,
     )
     read = replace(read, targets={n: t for n, t in read.targets.items() if t})
     log = ChangeLog()
@@ -122,6 +137,88 @@
         assert view.by_host == read.by_host
 
 
+@pytest.mark.parametrize("evacuated", [frozenset(), frozenset({"zone-1", "zone-x"})])
+def test_evacuations_alone_are_passed_on(evacuated):
+    """A change of the evacuations alone reaches peers, and changes the tag."""
+    first = frozenset({"zone-1"})
+    before = make_view(3).changed(revision=10, evacuated_zones=first)
+    after = before.changed(revision=11, evacuated_zones=evacuated)
+    log = ChangeLog()
+    log.record(FleetView(), before)
+    log.record(before, after)
+    assert after.content_tag != before.content_tag
+    for held in (before, FleetView()):
+        assert transferred(log, after, held) == after
+
+
+def as_earlier_build(data: bytes) -> bytes:
+    """Return an encoded update as a build without evacuations and eras has it."""
+    document = loads(decompress(data))
+    for name in ("evacuated", "era", "kept"):
+        document.pop(name, None)
+    if document["configuration"]:
+        document["configuration"].pop("warm_ups", None)
+    return compress(dumps(document).encode())
+
+
+@pytest.mark.parametrize("revision", [-1, 10], ids=["whole", "changes"])
+def test_update_of_an_earlier_build_keeps_evacuations(revision):
+    """An update that does not know of evacuations leaves them as they are.
+
+    Read as "no evacuation", it would let flows into the zone.
+    """
+    before = make_view(3).changed(revision=10, evacuated_zones=frozenset({"zone-1"}))
+    after = make_view(2, revision=11)
+    log = ChangeLog()
+    log.record(FleetView(), before)
+    log.record(before, after)
+    data = encode_update(log.update_for(after, revision, 1), now=NOW)
+    update = decode_update(as_earlier_build(data), encoded_at=NOW)
+    assert update.evacuated_zones is None
+    received = with_update(before, update, NOW)
+    assert received.targets == after.targets
+    assert received.evacuated_zones == {"zone-1"}
+
+
+# Fields of updates of the build before evacuations and eras, which rejects rows of
+# another length and ignores other fields.
+EARLIER_FIELDS = {
+    "base",
+    "revision",
+    "tag",
+    "settles_s",
+    "configuration",
+    "targets",
+    "removed",
+}
+EARLIER_TARGET_COLUMNS = 10
+
+
+def test_earlier_build_understands_updates():
+    """An update has all that an earlier build reads, in the form that it reads."""
+    view = make_view(3)
+    data = encode_update(ChangeLog().update_for(view, -1, -1), now=NOW)
+    document = loads(decompress(data))
+    assert document.keys() >= EARLIER_FIELDS
+    assert {len(row) for row in document["targets"]} == {EARLIER_TARGET_COLUMNS}
+    received = with_update(
+        FleetView(), decode_update(as_earlier_build(data), encoded_at=NOW), NOW
+    )
+    assert received.content_tag == view.content_tag == document["tag"]
+
+
+@pytest.mark.parametrize(
+    "zones", ['["\\ud800"]', "[1]", "7", "[[]]"], ids=["surrogate", "number", "x", "y"]
+)
+def test_odd_zones_in_an_update_are_rejected(zones):
+    """Names of zones that can't be hashed raise `ViewDecodeError`."""
+    update = ChangeLog().update_for(make_view(1), -1, -1)
+    document = loads(decompress(encode_update(update, now=NOW)))
+    text = dumps(document | {"evacuated": "ZONES"}).replace('"ZONES"', zones)
+    with pytest.raises(ViewDecodeError):
+        decode_update(compress(text.encode()), encoded_at=NOW)
+
+
 def test_times_are_kept_as_deadlines_of_the_receiver():
     """Times of an update are relative to the time at which it was encoded."""
     view = make_view(1).changed(
@@ -380,6 +477,11 @@
         version = self.view.configuration.version + 1
         self._change(configuration=make_configuration(version, routes))
 
+    @rule(zones=st.frozensets(st.sampled_from(["zone-1", "zone-2"])))
+    def change_zones(self, zones):
+        """Evacuate some availability zones, and end the other evacuations."""
+        self._change(evacuated_zones=zones)
+
     @rule(peer=st.integers(0, 2))
     def ask(self, peer):
         """Send an update for what a peer holds now; it may arrive late or never."""
@@ -415,6 +517,7 @@
                 assert peer.content_tag == self.view.content_tag
                 assert peer.configuration == self.view.configuration
                 assert peer.targets == self.view.targets
+                assert peer.evacuated_zones == self.view.evacuated_zones
 
     def teardown(self):
         """Bring every peer up to date."""
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -18,6 +18,7 @@
 )
 from balsamtide.fleet.store import (
     ConfigurationChange,
+    EvacuationChange,
     Listing,
     StoreChanges,
     TargetChange,
@@ -185,6 +186,29 @@
         assert after.revision == 6
 
 
+@pytest.mark.parametrize(
+    ("before", "changes", "after"),
+    [
+        ((), (("z1", True), ("z1", True)), {"z1"}),
+        (("z1",), (("z1", False),), set()),
+        (("z1",), (("z2", False),), {"z1"}),
+        (("z1",), (("z1", False), ("z1", True), ("z2", True)), {"z1", "z2"}),
+    ],
+    ids=["twice", "ended", "unknown-ended", "again"],
+)
+def test_changes_of_evacuations_are_applied_in_order(before, changes, after):
+    """The last change of an evacuation key decides, and a listing has all of them."""
+    view = replace(make_view(5, 1, READY), evacuated_zones=frozenset(before))
+    applied = tuple(EvacuationChange(zone, on) for zone, on in changes)
+    changed = with_changes(view, StoreChanges(6, applied), grace_until=-inf, now=NOW)
+    assert changed.evacuated_zones == after
+    listing = Listing(6, None, (READY,), evacuated_zones=frozenset(after))
+    listed = with_listing(view, listing, grace_until=-inf, now=NOW)
+    assert listed.evacuated_zones == after
+    assert listed.content_tag == changed.content_tag
+    assert newer_view(view, listed, NOW).evacuated_zones == after
+
+
 def test_unusable_record_removes_the_target():
     """A target whose record becomes unusable is removed, also in a grace period."""
     view = make_view(5, 1, READY)
--- a/tests/test_flow_platform.py
+++ b/tests/test_flow_platform.py
@@ -8,11 +8,12 @@
 
 from balsamtide.fleet.store import (
     ConfigurationChange,
+    EvacuationChange,
     HistoryGoneError,
     StoreError,
     TargetChange,
 )
-from balsamtide.fleet.view import TargetState
+from balsamtide.fleet.view import TargetState, WarmUp
 from balsamtide.flow_node.settings import FlowRole, FlowSettingsError
 from balsamtide.flows.packet import FlowPacketError, format_key
 from balsamtide.platform.documents import (
@@ -30,6 +31,8 @@
     TARGET,
     item,
     make_store,
+    page,
+    raw_item,
     run_to_end,
     to_json,
 )
@@ -252,29 +255,61 @@
 def test_listing_joins_pages_and_skips_invalid_records():
     """A listing has the valid targets of all pages and the first call's revision."""
     store, rejected = make_store(
-        (200, item("op/config", CONFIGURATION, storeRevision=9)),
+        (200, page(item("op/config", CONFIGURATION), has_more=True)),
+        (200, page(item("op/evacuate/z1", {}), raw_item("op/other", b""), revision=10)),
+        (200, page(item("servers/a", TARGET), revision=10, has_more=True)),
         (
             200,
-            {
-                "items": [item("servers/a", TARGET)],
-                "morePages": True,
-                "storeRevision": 9,
-            },
-        ),
-        (
-            200,
-            {
-                "items": [item("servers/b", {"x": 1}), item("servers/c", TARGET)],
-                "morePages": False,
-                "storeRevision": 11,
-            },
+            page(item("servers/b", {"x": 1}), item("servers/c", TARGET), revision=11),
         ),
     )
     listing = run_to_end(store.read_all())
     assert listing.revision == 9
     assert [target.name for target in listing.targets] == ["a", "c"]
     assert rejected == ["servers/b"]
-    assert "after=servers%2Fa" in store.client.paths[2]
+    assert listing.configuration.version == 7
+    assert listing.evacuated_zones == {"z1"}
+    assert "after=op%2Fconfig" in store.client.paths[1]
+    assert "after=servers%2Fa" in store.client.paths[3]
+
+
+@pytest.mark.parametrize(
+    "value", [b"{}", b"", b"\xff", b"[" * 9], ids=["object", "empty", "bytes", "cut"]
+)
+def test_zone_is_evacuated_while_its_key_exists(value):
+    """The value of an evacuation key does not matter, and no target has to be there."""
+    key = raw_item("op/evacuate/zone/1", value)
+    store, rejected = make_store(
+        (200, page(key)),
+        (200, page()),
+        (200, {"events": [key], "storeRevision": 10}),
+        (200, {"events": [key | {"removed": True}], "storeRevision": 11}),
+    )
+    assert run_to_end(store.read_all()).evacuated_zones == {"zone/1"}
+    for is_evacuated in (True, False):
+        (change,) = run_to_end(store.watch(9)).changes
+        assert change == EvacuationChange("zone/1", is_evacuated)
+    assert rejected == []
+
+
+@pytest.mark.parametrize(
+    ("fields", "expected"),
+    [
+        ({"warmupS": 20, "warmupPerS": 2.5}, WarmUp(lasts_s=20.0, rate=2.5)),
+        ({"warmupPerS": 2}, WarmUp(lasts_s=0.0, rate=2.0)),
+        ({"warmupS": 20}, None),
+        ({"warmupS": 20, "warmupPerS": 0}, None),
+        ({"warmupS": None, "warmupPerS": None}, None),
+    ],
+    ids=["both", "rate", "no-rate", "rate-0", "null"],
+)
+def test_warm_up_of_a_service_needs_a_rate(fields, expected):
+    """Without a rate, or with 0, the cold targets of a service have no limit."""
+    service = CONFIGURATION["services"][0] | fields
+    document = CONFIGURATION | {"services": [service]}
+    configuration = decode_configuration(to_json(document))
+    assert configuration.services == {"orders"}
+    assert configuration.warm_ups.get("orders") == expected
 
 
 def test_watch_decodes_changes():
--- a/tests/test_foreign_records.py
+++ b/tests/test_foreign_records.py
@@ -9,7 +9,7 @@
 
 from balsamtide.fleet.change_log import ChangeLog
 from balsamtide.fleet.merge import with_listing, with_update
-from balsamtide.fleet.store import Listing
+from balsamtide.fleet.store import EvacuationChange, Listing
 from balsamtide.fleet.view import FleetView, FlowTarget
 from balsamtide.fleet.view_codec import ViewDecodeError, decode_update, encode_update
 from balsamtide.flows.placement import LeastLoadedPlacement
@@ -25,6 +25,7 @@
     TARGET,
     item,
     make_store,
+    page,
     raw_item,
     run_to_end,
     to_json,
@@ -72,8 +73,8 @@
     """An odd record is rejected in a listing and in a watch, without other effects."""
     items = [raw_item("servers/odd", record), item("servers/good", TARGET)]
     store, rejected = make_store(
-        (200, item("op/config", CONFIGURATION, storeRevision=9)),
-        (200, {"items": items, "morePages": False, "storeRevision": 9}),
+        (200, page(item("op/config", CONFIGURATION))),
+        (200, page(*items)),
         (200, {"events": items, "storeRevision": 10}),
     )
     listing = run_to_end(store.read_all())
@@ -84,6 +85,26 @@
     assert rejected == ["servers/odd"] * 2
 
 
+@pytest.mark.parametrize("zone", ["\ud800", "z" * 1025], ids=["surrogate", "long"])
+@pytest.mark.parametrize("is_removed", [False, True])
+def test_odd_evacuation_evacuates_nothing_and_the_others_hold(zone, is_removed):
+    """An evacuation key with an odd zone name is rejected, and no other key."""
+    odd = item(f"op/evacuate/{zone}", {}) | {"removed": is_removed}
+    keys = [odd, item("op/evacuate/z1", {}), item("op/config", CONFIGURATION)]
+    store, rejected = make_store(
+        (200, page(*keys)),
+        (200, page()),
+        (200, {"events": keys, "storeRevision": 10}),
+    )
+    listing = run_to_end(store.read_all())
+    assert listing.evacuated_zones == {"z1"}
+    assert listing.configuration is not None
+    changes = run_to_end(store.watch(9)).changes
+    assert changes[0] == EvacuationChange("z1", True)
+    assert len(changes) == 2
+    assert rejected == [odd["key"]] * 2
+
+
 def test_key_that_no_text_encoding_holds_is_rejected():
     """A record whose key has a lone surrogate is rejected like an odd record."""
     store, rejected = make_store(
@@ -103,6 +124,12 @@
     "route-service": CONFIGURATION | {"routes": [ROUTE | {"service": "\ud800"}]},
     "route-name": CONFIGURATION | {"routes": [ROUTE | {"name": "\ud800"}]},
     "service-name": CONFIGURATION | {"services": [{"name": "\ud800"}]},
+    **{
+        f"warm-up-{value!r:.9}": CONFIGURATION
+        | {"services": [{"name": "orders", "warmupPerS": 2} | {field: value}]}
+        for field in ("warmupPerS", "warmupS")
+        for value in ("2", -1, True, [], 10**400, float("nan"), float("inf"))
+    },
 }
 ODD_CONFIGURATION_NUMBERS = {
     f"{field}-{name}": configuration_with(number, odd)
