--- a/src/balsamtide/fleet/change_log.py
+++ b/src/balsamtide/fleet/change_log.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
+from balsamtide.fleet.carry_over import CarryOver
 from balsamtide.fleet.view import (
     FleetView,
     FlowConfiguration,
@@ -134,6 +135,8 @@
         Era of both revisions.
     evacuated_zones : frozenset of str or None
         All evacuated availability zones, None if the sender does not know of them.
+    carry_over : CarryOver or None
+        What the sender keeps of an earlier era, only with a whole view.
     """
 
     base: int
@@ -144,6 +147,7 @@
     targets: Mapping[str, FlowTarget | None]
     era: int = 0
     evacuated_zones: frozenset[str] | None = None
+    carry_over: CarryOver | None = None
 
     @property
     def is_whole(self) -> bool:
@@ -175,7 +179,7 @@
 
     def record(self, before: FleetView, after: FleetView) -> None:
         """Record the difference between two successive views."""
-        if before.revision < 0:
+        if before.revision < 0 or before.era != after.era:
             self.entries.clear()
             self.complete_since = after.revision
             return
@@ -201,6 +205,7 @@
                 settles_at=view.settles_at,
                 configuration=view.configuration,
                 targets=view.targets,
+                era=view.era,
                 evacuated_zones=view.evacuated_zones,
             )
         targets: dict[str, FlowTarget | None] = {}
@@ -214,6 +219,7 @@
             settles_at=view.settles_at,
             configuration=self._configuration_for(view, version),
             targets=targets,
+            era=view.era,
             evacuated_zones=view.evacuated_zones,
         )
 
--- a/src/balsamtide/fleet/merge.py
+++ b/src/balsamtide/fleet/merge.py
@@ -1,4 +1,8 @@
-"""Merging of store reads and peers' views into the next view."""
+"""Merging of store reads and peers' views into the next view.
+
+Views are ordered by era and revision.  What stays of a view when the store was restored
+is laid over the result; see `balsamtide.fleet.carry_over`.
+"""
 
 from collections.abc import Mapping
 from dataclasses import replace
@@ -18,7 +22,14 @@
     TargetState,
 )
 
-__all__ = ["LAPSE_GRACE_S", "newer_view", "with_changes", "with_listing", "with_update"]
+__all__ = [
+    "LAPSE_GRACE_S",
+    "forgotten_targets",
+    "newer_view",
+    "with_changes",
+    "with_listing",
+    "with_update",
+]
 
 # Time after a recovery of the store in which targets without a record are kept as
 # lapsed: 2 s in which they write their records again, and 0.5 s of propagation.
@@ -29,9 +40,12 @@
     current: FlowConfiguration, received: FlowConfiguration | None
 ) -> FlowConfiguration:
     """Return the configuration with the higher version; it never goes back."""
-    if received is None or received.version <= current.version:
+    if received is None or received.version < current.version:
         return current
-    return received
+    if received.version > current.version:
+        return received
+    # A process of an earlier build passes a version on without its warm-ups.
+    return current if current.warm_ups else received
 
 
 def _lapsed(target: FlowTarget, grace_until: float, now: float) -> FlowTarget | None:
@@ -63,16 +77,20 @@
     now : float
         Local time in seconds.
     """
-    if listing.revision < view.revision:
+    if (listing.era, listing.revision) < view.position:
         return view
     targets = {target.name: target for target in listing.targets}
+    if listing.era != view.era and view.revision >= 0:
+        # The store was restored, so that missing targets write their records again.
+        grace_until = max(grace_until, now + LAPSE_GRACE_S)
     for name, known in view.targets.items():
-        if name not in targets:
+        if listing.era == view.era and name not in targets:
             lapsed = _lapsed(known, grace_until, now)
             if lapsed is not None:
                 targets[name] = lapsed
     return FleetView(
         revision=listing.revision,
+        era=listing.era,
         configuration=_newer_configuration(view.configuration, listing.configuration),
         targets=targets,
         evacuated_zones=listing.evacuated_zones,
@@ -83,10 +101,14 @@
 def with_changes(
     view: FleetView, changes: StoreChanges, *, grace_until: float, now: float
 ) -> FleetView:
-    """Return the view after applying changes that follow its revision."""
-    if changes.revision < view.revision:
+    """Return the view after applying changes that follow its revision.
+
+    Changes of another era do not apply.
+    """
+    if changes.era != view.era or changes.revision < view.revision:
         return view
-    targets: dict[str, FlowTarget | None] = {}
+    # Peers forget the same targets when they get the changes.
+    targets = forgotten_targets(view, now)
     configuration = view.configuration
     evacuated_zones = view.evacuated_zones
     for change in changes.changes:
@@ -100,7 +122,11 @@
                 else evacuated_zones - zone
             )
         else:
-            known = targets.get(change.name, view.targets.get(change.name))
+            known = (
+                targets[change.name]
+                if change.name in targets
+                else view.targets.get(change.name)
+            )
             targets[change.name] = _after_change(known, change, grace_until, now)
     return view.changed(
         revision=changes.revision,
@@ -122,20 +148,22 @@
 
 
 def newer_view(current: FleetView, received: FleetView, now: float) -> FleetView:
-    """Return the view with the higher revision; the configuration never goes back.
+    """Return the view with the higher position; the configuration never goes back.
 
     Lapsed targets whose grace period has ended are left out.
     """
-    if received.revision < current.revision:
+    if received.position < current.position:
         return current
     return FleetView(
         revision=received.revision,
+        era=received.era,
         configuration=_newer_configuration(
             current.configuration, received.configuration
         ),
         targets=_without_forgotten(received.targets, now),
         evacuated_zones=received.evacuated_zones,
         settles_at=max(current.settles_at, received.settles_at),
+        is_complete=received.is_complete,
     )
 
 
@@ -147,8 +175,10 @@
     ValueError
         If the update changes a view or configuration that is not held here.
     """
-    if update.revision < view.revision:
+    if (update.era, update.revision) < view.position:
         return view
+    if not update.is_whole and update.era != view.era:
+        raise ValueError(f"changes of era {update.era} do not apply to era {view.era}")
     configuration = update.configuration
     if isinstance(configuration, RouteChanges):
         configuration = _with_route_changes(view.configuration, configuration)
@@ -159,27 +189,54 @@
     if update.is_whole:
         whole = FleetView(
             revision=update.revision,
+            era=update.era,
             configuration=configuration or view.configuration,
             targets={n: t for n, t in update.targets.items() if t is not None},
             evacuated_zones=zones,
             settles_at=update.settles_at,
+            is_complete=_is_complete(view, update),
         )
+        if whole.position == view.position and whole.era > 0:
+            return _joined(view, whole, now)
         return newer_view(view, whole, now)
     if view.revision < update.base:
         raise ValueError(
             f"changes of revision {update.base} do not apply to {view.revision}"
         )
-    targets: dict[str, FlowTarget | None] = {
-        name: None for name, t in view.targets.items() if now >= t.forget_at
-    }
+    targets = forgotten_targets(view, now)
     targets.update(update.targets)
-    return view.changed(
+    after = view.changed(
         revision=update.revision,
         targets=targets,
         configuration=_newer_configuration(view.configuration, configuration),
         evacuated_zones=zones,
         settles_at=update.settles_at,
     )
+    is_complete = view.is_complete and _is_complete(view, update)
+    return after if is_complete else replace(after, is_complete=False)
+
+
+def _is_complete(view: FleetView, update: ViewUpdate) -> bool:
+    """Whether an update, or the view that it does not change, has all evacuations."""
+    is_same = (update.era, update.revision) == view.position
+    return update.evacuated_zones is not None or (is_same and view.is_complete)
+
+
+def _joined(view: FleetView, received: FleetView, now: float) -> FleetView:
+    """Return the same view for both orders of two views of one position.
+
+    Processes that read a restored store at one revision may know different versions of
+    the configuration, and pages that were read at different times.
+    """
+    configuration = _newer_configuration(view.configuration, received.configuration)
+    rank, received_rank = (
+        (one.is_complete, one.contents_rank) for one in (view, received)
+    )
+    if rank < received_rank:
+        return newer_view(view, received, now)
+    if configuration is view.configuration:
+        return view
+    return view.changed(revision=view.revision, configuration=configuration)
 
 
 def _with_route_changes(
@@ -190,6 +247,11 @@
     return changes.apply(configuration)
 
 
+def forgotten_targets(view: FleetView, now: float) -> dict[str, FlowTarget | None]:
+    """Return the lapsed targets whose grace period has ended, as removals."""
+    return {name: None for name, t in view.targets.items() if now >= t.forget_at}
+
+
 def _without_forgotten(
     targets: Mapping[str, FlowTarget], now: float
 ) -> dict[str, FlowTarget]:
--- a/src/balsamtide/fleet/view.py
+++ b/src/balsamtide/fleet/view.py
@@ -172,6 +172,9 @@
     settles_at : float
         Local time until which missing targets may come back after an outage of the
         store.
+    is_complete : bool
+        False if a process of an earlier build passed the view on, so that evacuations
+        and warm-ups may be missing.
     """
 
     revision: int = -1
@@ -180,6 +183,7 @@
     targets: Mapping[str, FlowTarget] = field(default_factory=dict)
     evacuated_zones: frozenset[str] = frozenset()
     settles_at: float = -inf
+    is_complete: bool = True
 
     @property
     def position(self) -> tuple[int, int]:
@@ -217,6 +221,11 @@
         """Sum of the tags of all targets, which is the same in any order."""
         return sum(map(_target_tag, self.targets.values())) & MAX_U32
 
+    @property
+    def contents_rank(self) -> tuple[int, tuple[str, ...]]:
+        """Order of views of one position whose targets or evacuations differ."""
+        return self.targets_tag, tuple(sorted(self.evacuated_zones))
+
     @property
     def content_tag(self) -> int:
         """Checksum of version, targets and evacuated zones, to compare views."""
@@ -260,6 +269,7 @@
                 self.evacuated_zones if evacuated_zones is None else evacuated_zones
             ),
             settles_at=max(self.settles_at, settles_at),
+            is_complete=self.is_complete,
         )
         if not changes:
             kept = {"by_service", "rings", "targets_tag"}
--- a/src/balsamtide/fleet/view_codec.py
+++ b/src/balsamtide/fleet/view_codec.py
@@ -9,6 +9,7 @@
 from zlib import compress, decompressobj
 from zlib import error as ZlibError
 
+from balsamtide.fleet.carry_over import CarryOver
 from balsamtide.fleet.change_log import RouteChanges, ViewUpdate
 from balsamtide.fleet.view import (
     FlowConfiguration,
@@ -53,9 +54,21 @@
     # Earlier builds ignore the fields that they do not know.
     if update.evacuated_zones is not None:
         document["evacuated"] = sorted(update.evacuated_zones)
+    if update.era:
+        document["era"] = update.era
+    if update.carry_over is not None:
+        document["kept"] = _kept_fields(update.carry_over, now)
     return compress(dumps(document, separators=(",", ":")).encode())
 
 
+def _kept_fields(carry_over: CarryOver, now: float) -> dict[str, Any]:
+    return {
+        "ends_s": carry_over.ends_at - now,
+        "targets": [_target_row(t, now) for t in carry_over.targets.values()],
+        "evacuated": sorted(carry_over.evacuated_zones),
+    }
+
+
 def _configuration_fields(
     configuration: FlowConfiguration | RouteChanges | None,
 ) -> dict[str, Any] | None:
@@ -133,7 +146,9 @@
             settles_at=encoded_at + settles_s if settles_s else -inf,
             configuration=_configuration(document["configuration"]),
             targets=targets,
+            era=int(document.get("era", 0)),
             evacuated_zones=_zones(document.get("evacuated")),
+            carry_over=_carry_over(document.get("kept"), encoded_at),
         )
     except UNUSABLE_ERRORS as error:
         raise ViewDecodeError(f"{type(error).__name__}: {error}") from error
@@ -149,6 +164,17 @@
     return text
 
 
+def _carry_over(fields: dict[str, Any] | None, encoded_at: float) -> CarryOver | None:
+    if fields is None:
+        return None
+    targets = [_target(row, encoded_at) for row in fields["targets"]]
+    return CarryOver(
+        ends_at=encoded_at + float(fields["ends_s"]),
+        targets={target.name: target for target in targets},
+        evacuated_zones=_zones(fields["evacuated"]) or frozenset(),
+    )
+
+
 def _zones(names: list[str] | None) -> frozenset[str] | None:
     if names is None:
         return None
--- a/src/balsamtide/fleet/view_exchange.py
+++ b/src/balsamtide/fleet/view_exchange.py
@@ -2,6 +2,7 @@
 
 from math import inf
 
+from balsamtide.fleet.carry_over import CarryOver
 from balsamtide.fleet.change_log import ChangeLog, ViewUpdate
 from balsamtide.fleet.merge import with_update
 from balsamtide.fleet.view import FleetView
@@ -12,6 +13,9 @@
 
 __all__ = ["ViewExchange"]
 
+Position = tuple[int, int]
+NO_POSITION = (0, -1)
+
 
 class ViewExchange:
     """Pulls updates from peers and sends them to peers.
@@ -24,8 +28,8 @@
         self.sender = UpdateSender(self.log)
         self.download: ViewDownload | None = None
         # Peer with the newest view that was announced during the download, and its
-        # revision.
-        self.newer_peer: tuple[int, int] = (0, -1)
+        # position.
+        self.newer_peer: tuple[int, Position] = (0, NO_POSITION)
 
     # Requests of peers
 
@@ -36,9 +40,13 @@
         view: FleetView,
         confirmed_at: float,
         now: float,
+        *,
+        carry_over: CarryOver | None = None,
     ) -> list[Action]:
         """Return the pieces that a peer asked for."""
-        pieces = self.sender.answer(request, view, confirmed_at, now)
+        pieces = self.sender.answer(
+            request, view, confirmed_at, now, carry_over=carry_over
+        )
         return [SendFrame(source, piece) for piece in pieces]
 
     # Downloads
@@ -46,7 +54,7 @@
     def pull(
         self,
         peer: int,
-        revision: int,
+        position: Position,
         view: FleetView,
         now: float,
         *,
@@ -56,22 +64,26 @@
 
         Parameters
         ----------
-        peer, revision : int
-            Host of the peer, and its revision.
+        peer : int
+            Host of the peer.
+        position : tuple of (int, int)
+            Era and revision of its view.
         view : FleetView
             Own view.
         now : float
             Local time in seconds.
         whole : bool
-            Whether to ask for the whole view instead of the changes.
+            Whether to ask for the whole view instead of the changes.  Changes of
+            another era do not apply, so that the whole view is asked for then.
         """
         if self.download is not None:
             is_other = peer != self.download.peer
-            if revision > self.newer_peer[1] or (
-                is_other and revision == self.newer_peer[1]
+            if position > self.newer_peer[1] or (
+                is_other and position == self.newer_peer[1]
             ):
-                self.newer_peer = peer, revision
+                self.newer_peer = peer, position
             return []
+        whole = whole or position[0] != view.era
         self.download = ViewDownload(
             peer,
             -1 if whole else view.revision,
@@ -97,8 +109,8 @@
 
     def apply(
         self, download: ViewDownload, view: FleetView, now: float
-    ) -> tuple[FleetView, list[Action]]:
-        """Return the view after a complete download, and the actions.
+    ) -> tuple[FleetView, CarryOver | None, list[Action]]:
+        """Return the view after a complete download, what it keeps, and the actions.
 
         If the result differs from the peer's view, the whole view is asked for.
         """
@@ -106,28 +118,31 @@
             update = decode_update(download.data, encoded_at=download.encoded_at)
             after = with_update(view, update, now)
         except ViewDecodeError as error:
-            return view, [PullEnded(download.peer, str(error))]
+            return view, None, [PullEnded(download.peer, str(error))]
         except ValueError as error:
-            ended = PullEnded(download.peer, str(error))
-            again = self.pull(download.peer, view.revision, view, now, whole=True)
-            return view, [ended, *again]
+            return view, None, self._pull_whole(download.peer, str(error), view, now)
         if self._differs(update, after):
             problem = f"changes since revision {update.base} give other contents"
-            ended = PullEnded(download.peer, problem)
-            again = self.pull(download.peer, view.revision, view, now, whole=True)
-            return view, [ended, *again]
-        return after, [PullEnded(download.peer), *self._pull_newer(after, now)]
+            return view, None, self._pull_whole(download.peer, problem, view, now)
+        actions = [PullEnded(download.peer), *self._pull_newer(after, now)]
+        return after, update.carry_over, actions
+
+    def _pull_whole(
+        self, peer: int, problem: str, view: FleetView, now: float
+    ) -> list[Action]:
+        again = self.pull(peer, view.position, view, now, whole=True)
+        return [PullEnded(peer, problem), *again]
 
     def _differs(self, update: ViewUpdate, after: FleetView) -> bool:
         return (
             not update.is_whole
-            and after.revision == update.revision
+            and after.position == (update.era, update.revision)
             and after.content_tag != update.content_tag
         )
 
     def _pull_newer(self, view: FleetView, now: float) -> list[Action]:
-        (peer, revision), self.newer_peer = self.newer_peer, (0, -1)
-        return self.pull(peer, revision, view, now) if revision > view.revision else []
+        (peer, position), self.newer_peer = self.newer_peer, (0, NO_POSITION)
+        return self.pull(peer, position, view, now) if position > view.position else []
 
     # Timers
 
--- a/src/balsamtide/fleet/view_gossip.py
+++ b/src/balsamtide/fleet/view_gossip.py
@@ -6,20 +6,31 @@
 """
 
 from collections.abc import Iterable
+from dataclasses import replace
 from math import inf
 from random import Random
 from zlib import crc32
 
+from balsamtide.fleet.carry_over import CarryOver
+from balsamtide.fleet.eras import digest_position, era_bits
 from balsamtide.fleet.load_exchange import LoadExchange
-from balsamtide.fleet.merge import LAPSE_GRACE_S, newer_view
+from balsamtide.fleet.merge import LAPSE_GRACE_S, forgotten_targets, newer_view
 from balsamtide.fleet.view import FleetView
 from balsamtide.fleet.view_exchange import ViewExchange
 from balsamtide.protocol.flow_actions import Action, SendFrame
-from balsamtide.protocol.flow_frames import MAX_CLAIMS, Digest, ReaderClaim
+from balsamtide.protocol.flow_frames import (
+    MAX_CLAIMS,
+    MAX_LOAD_REPORTS,
+    Digest,
+    LoadReport,
+    ReaderClaim,
+)
 from balsamtide.protocol.view_frames import PullRequest, ViewPiece
 
 __all__ = ["ViewGossip"]
 
+Loads = tuple[LoadReport, ...]
+
 # Anti-entropy period, for updates that were missed.
 DIGEST_PERIOD_S = 0.25
 # Peers that get a digest at once after an update.  They send digests in turn after they
@@ -59,6 +70,9 @@
 JOIN_DIGEST_PERIOD_S = 0.05
 # Smaller differences of the settling time come from transit times.
 SETTLING_STEP_S = 0.05
+# Least time between two pulls of whole views whose position is the same but whose
+# contents differ, so that a lasting difference costs one view a second at most.
+RESOLVE_GAP_S = 1.0
 
 
 class ViewGossip:
@@ -91,9 +105,15 @@
         self.loads = loads
         self.set_seeds(seeds)
         self.random = random
+        # The view that decisions follow.
         self.view = FleetView()
+        # While something is kept of an earlier era, the view without it.
+        self.store_view = FleetView()
+        self.carry_over: CarryOver | None = None
         self.confirmed_at = -inf
         self.peers: dict[int, float] = {}
+        # Peers that accept loads with digests.
+        self.load_peers: set[int] = set()
         self.readers: dict[int, float] = {}
         self.has_seen_reader = False
         self.has_seen_peer = False
@@ -105,6 +125,11 @@
         self.has_unsent_update = False
         self.read_at = self._first_read_time(now)
         self.exchange = ViewExchange()
+        # Since when evacuations and warm-ups may be missing.
+        self.incomplete_since = inf
+        self.resolve_at = now
+        # When forgotten targets were last removed.
+        self.pruned_at = -inf
 
     def set_seeds(self, seeds: Iterable[int]) -> None:
         """Set the seed instances; this instance is left out."""
@@ -114,6 +139,11 @@
 
     # State
 
+    @property
+    def shared_view(self) -> FleetView:
+        """The view without what is kept of an earlier era, which peers compare."""
+        return self.view if self.carry_over is None else self.store_view
+
     def age(self, now: float) -> float:
         """Return the seconds since a reader confirmed this view as the newest."""
         return now - self.confirmed_at
@@ -155,11 +185,21 @@
         """Whether this process should read the store now."""
         if self.view.revision < 0:
             return now >= self.read_at
+        if self.should_list(now):
+            return True
         if self.local_claim_at > -inf:
             return not self._has_preferred_reader(now)
         timeout_s = TAKEOVER_S if self.has_seen_reader else FIRST_TAKEOVER_S
         return self.age(now) > timeout_s + self._takeover_delay(now)
 
+    def should_list(self, now: float) -> bool:
+        """Whether the store should be listed for what earlier builds do not pass on.
+
+        Processes that have it share it meanwhile, so that few list the store.
+        """
+        due_at = self.incomplete_since + TAKEOVER_S
+        return now > due_at and now > due_at + self._takeover_delay(now)
+
     def _has_preferred_reader(self, now: float) -> bool:
         local_rank = _host_rank(self.host)
         return any(
@@ -176,9 +216,15 @@
         return TAKEOVER_STEP_S * ((before + 1).bit_length() - 1)
 
     def apply_store_view(self, view: FleetView, now: float) -> list[Action]:
-        """Apply a view read from the store; return the digests to send."""
-        is_first = self.view.revision < 0
-        self._set_view(newer_view(self.view, view, now))
+        """Apply a view read from the store; return the digests to send.
+
+        ``view`` was merged with `shared_view`.
+        """
+        before = self.shared_view
+        if view.era < before.era:
+            return []
+        is_first = before.revision < 0
+        self._set_view(newer_view(before, view, now), now=now)
         self.confirmed_at = now
         # All processes read once at their start; only a later read makes a reader.
         if not is_first:
@@ -189,9 +235,69 @@
         """Stop claiming to be a reader: a preferred one exists, or a read failed."""
         self.local_claim_at = -inf
 
-    def _set_view(self, view: FleetView) -> None:
-        self.exchange.log.record(self.view, view)
-        self.view = view
+    def _set_view(
+        self,
+        view: FleetView,
+        *,
+        now: float = -inf,
+        received: CarryOver | None = None,
+    ) -> None:
+        """Replace the shared view.
+
+        Parameters
+        ----------
+        view : FleetView
+            The new view.
+        now : float
+            Local time in seconds; needed for a view of another era.
+        received : CarryOver or None
+            What the peer that sent the view keeps of an earlier era.
+        """
+        before = self.shared_view
+        carry_over = self._next_carry_over(view, now, received)
+        self.exchange.log.record(before, view)
+        self.carry_over = carry_over
+        self.store_view = view
+        self.view = view if carry_over is None else carry_over.laid_over(view)
+        if view.is_complete:
+            self.incomplete_since = inf
+        else:
+            self.incomplete_since = min(self.incomplete_since, now)
+
+    def _next_carry_over(
+        self, view: FleetView, now: float, received: CarryOver | None
+    ) -> CarryOver | None:
+        before = self.shared_view
+        carry_over = self.carry_over
+        if before.revision < 0:
+            carry_over = received
+        elif view.era != before.era:
+            ends_at = now + LAPSE_GRACE_S
+            carry_over = CarryOver.between(self.view, view, ends_at).joined(received)
+        elif carry_over is not None:
+            carry_over = carry_over.joined(received)
+        if carry_over is None or now >= carry_over.ends_at:
+            return None
+        return carry_over.reduced(view)
+
+    def _end_grace_periods(self, now: float) -> None:
+        """Remove what is kept of an earlier era, and targets that did not come back."""
+        if self.carry_over is not None and now >= self.carry_over.ends_at:
+            self.carry_over = None
+            self.view = self.store_view
+        if now >= self._prune_at:
+            self.pruned_at = now
+            view = self.shared_view
+            forgotten = forgotten_targets(view, now)
+            if forgotten:
+                after = view.changed(revision=view.revision, targets=forgotten)
+                self._set_view(after, now=now)
+
+    @property
+    def _prune_at(self) -> float:
+        # Lapsed targets are kept until the view settles, but for rounding on the wire.
+        settles_at = self.shared_view.settles_at
+        return settles_at + SETTLING_STEP_S if settles_at > self.pruned_at else inf
 
     # Gossip
 
@@ -204,7 +310,12 @@
                 return self.receive_digest(frame, source, now)
             case PullRequest():
                 return self.exchange.answer(
-                    frame, source, self.view, self.confirmed_at, now
+                    frame,
+                    source,
+                    self.shared_view,
+                    self.confirmed_at,
+                    now,
+                    carry_over=self.carry_over,
                 )
             case ViewPiece():
                 return self._receive_piece(frame, source, now)
@@ -213,28 +324,61 @@
         download, actions = self.exchange.receive(piece, source, now)
         if download is None:
             return actions
-        before = self.view
-        view, actions = self.exchange.apply(download, before, now)
+        before = self.shared_view
+        view, received, actions = self.exchange.apply(download, before, now)
         if view is before:
             return actions
-        self._set_view(view)
+        self._set_view(view, now=now, received=received)
         self.confirmed_at = max(self.confirmed_at, download.confirmed_at)
         return actions + self._announce_update(now)
 
     def receive_digest(self, digest: Digest, source: int, now: float) -> list[Action]:
         """Process a peer's digest; return a reply, a pull or digests to send."""
         self.peers[source] = now
-        self._record_claims(digest.claims, now)
+        self._record_loads(digest, source, now)
+        view = self.shared_view
+        position = digest_position(digest, view.era)
+        if position[0] >= view.era:
+            # A reader of an earlier era may not know yet that the store was restored,
+            # and one of an earlier build can't tell.
+            self._record_claims(digest.claims, now)
         self._record_settling(digest, now)
-        if digest.revision > self.view.revision:
-            return self._catch_up(digest, source, now)
+        if position > view.position:
+            return self._catch_up(digest, position, source, now)
         actions: list[Action] = []
-        if digest.revision == self.view.revision:
+        if position == view.position:
             actions = self._record_confirmation(digest, now)
-        if not digest.is_reply and self._is_peer_behind(digest, now):
-            actions.append(SendFrame(source, self._make_digest(now, True)))
+            actions += self._resolve_difference(digest, source, now)
+        if not digest.is_reply and self._is_peer_behind(digest, position, now):
+            loads = self._outgoing_loads((source,), now)
+            reply = self._make_digest(now, True)
+            actions.append(self._send_digest(source, reply, loads))
         return actions
 
+    def _record_loads(self, digest: Digest, source: int, now: float) -> None:
+        if digest.understands_loads:
+            self.load_peers.add(source)
+        else:
+            # An earlier build may have taken the place of a later one.
+            self.load_peers.discard(source)
+        if self.loads is not None and digest.loads:
+            self.loads.receive(digest.loads, now)
+
+    def _resolve_difference(
+        self, digest: Digest, source: int, now: float
+    ) -> list[Action]:
+        """Pull the whole view if a peer's contents differ at the same position.
+
+        Without eras, only an update of an earlier build leaves such a difference.
+        """
+        view = self.shared_view
+        differs = view.era > 0 and digest.content_tag != view.content_tag
+        is_missing = not view.is_complete and digest.understands_loads
+        if now < self.resolve_at or not (differs or is_missing):
+            return []
+        self.resolve_at = now + RESOLVE_GAP_S
+        return self.exchange.pull(source, view.position, view, now, whole=True)
+
     def _record_settling(self, digest: Digest, now: float) -> None:
         """Record until when missing targets may come back, as far as a peer knows."""
         settles_s = digest.settles_s
@@ -245,22 +389,34 @@
                 settles_s = max(settles_s, LAPSE_GRACE_S)
         settles_at = now + settles_s
         if settles_s > 0 and settles_at > self.view.settles_at + SETTLING_STEP_S:
+            if self.carry_over is not None:
+                self.store_view = self.store_view.changed(
+                    revision=self.store_view.revision, settles_at=settles_at
+                )
             self.view = self.view.changed(
                 revision=self.view.revision, settles_at=settles_at
             )
 
-    def _is_peer_behind(self, digest: Digest, now: float) -> bool:
+    def _is_peer_behind(
+        self, digest: Digest, position: tuple[int, int], now: float
+    ) -> bool:
         """Whether a peer's view or its confirmation is older than the local one."""
-        if digest.revision < self.view.revision:
+        if position < self.shared_view.position:
             return True
         return digest.age_s > self.age(now) + CONFIRMATION_STEP_S
 
-    def _catch_up(self, digest: Digest, source: int, now: float) -> list[Action]:
-        if digest.content_tag == self.view.content_tag:
+    def _catch_up(
+        self, digest: Digest, position: tuple[int, int], source: int, now: float
+    ) -> list[Action]:
+        view = self.shared_view
+        is_missing = not view.is_complete and digest.understands_loads
+        has_same_era = position[0] == view.era
+        has_same_content = digest.content_tag == view.content_tag
+        if has_same_era and has_same_content and not is_missing:
             # The revision rose without a change of the content, so no pull is needed.
-            self._set_view(self.view.changed(revision=digest.revision))
+            self._set_view(view.changed(revision=digest.revision), now=now)
             return self._record_confirmation(digest, now)
-        return self.exchange.pull(source, digest.revision, self.view, now)
+        return self.exchange.pull(source, position, view, now, whole=is_missing)
 
     def _record_confirmation(self, digest: Digest, now: float) -> list[Action]:
         """Record a confirmation of this view; spread it if it is clearly newer."""
@@ -282,11 +438,19 @@
     def deadline(self) -> float:
         """Time of the next call of `tick`."""
         update_at = self.update_at if self.has_unsent_update else inf
-        return min(self.digest_at, update_at, self.exchange.deadline)
+        kept_until = inf if self.carry_over is None else self.carry_over.ends_at
+        return min(
+            self.digest_at,
+            update_at,
+            self.exchange.deadline,
+            kept_until,
+            self._prune_at,
+        )
 
     def tick(self, now: float) -> list[Action]:
         """Return the periodic digest and repeated requests, if they are due."""
-        actions = self.exchange.tick(self.view, now)
+        self._end_grace_periods(now)
+        actions = self.exchange.tick(self.shared_view, now)
         if self.has_unsent_update:
             actions += self._announce_update(now)
         if now < self.digest_at:
@@ -299,6 +463,7 @@
 
     def _expire(self, now: float) -> None:
         self.peers = {h: t for h, t in self.peers.items() if now < t + PEER_LEASE_S}
+        self.load_peers &= self.peers.keys()
         self.readers = {
             h: t for h, t in self.readers.items() if now < t + CLAIM_LEASE_S
         }
@@ -315,7 +480,19 @@
         hosts = self.known_hosts(now)
         chosen = self.random.sample(hosts, min(count, len(hosts)))
         digest = self._make_digest(now, False)
-        return [SendFrame(host, digest) for host in chosen]
+        loads = self._outgoing_loads(chosen, now)
+        return [self._send_digest(host, digest, loads) for host in chosen]
+
+    def _send_digest(self, host: int, digest: Digest, loads: Loads) -> SendFrame:
+        if loads and host in self.load_peers:
+            digest = replace(digest, loads=loads)
+        return SendFrame(host, digest)
+
+    def _outgoing_loads(self, hosts: Iterable[int], now: float) -> Loads:
+        """Return the loads to send if one of some peers accepts them."""
+        if self.loads is None or self.load_peers.isdisjoint(hosts):
+            return ()
+        return self.loads.outgoing(now)[:MAX_LOAD_REPORTS]
 
     def _make_digest(self, now: float, is_reply: bool) -> Digest:
         claims = [
@@ -326,13 +503,16 @@
         if self.local_claim_at > -inf:
             claims.append(ReaderClaim(self.host, now - self.local_claim_at))
         claims.sort(key=_claim_rank)
+        view = self.shared_view
         return Digest(
-            revision=self.view.revision,
-            content_tag=self.view.content_tag,
+            revision=view.revision,
+            content_tag=view.content_tag,
             age_s=self.age(now),
-            settles_s=max(0.0, self.view.settles_at - now),
+            settles_s=max(0.0, view.settles_at - now),
             claims=tuple(claims[:MAX_CLAIMS]),
             is_reply=is_reply,
+            era_bits=era_bits(view.era),
+            understands_loads=True,
         )
 
 
--- a/src/balsamtide/fleet/view_transfer.py
+++ b/src/balsamtide/fleet/view_transfer.py
@@ -6,10 +6,11 @@
 begins anew, and no more than a window waits on the link.
 """
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from math import inf
 from zlib import crc32
 
+from balsamtide.fleet.carry_over import CarryOver
 from balsamtide.fleet.change_log import ChangeLog
 from balsamtide.fleet.view import FleetView
 from balsamtide.fleet.view_codec import encode_update
@@ -36,7 +37,7 @@
 class _EncodedUpdate:
     data: bytes
     transfer: int
-    revision: int
+    position: tuple[int, int]
     encoded_at: float
     confirmed_at: float
 
@@ -67,13 +68,23 @@
 
     def __init__(self, log: ChangeLog) -> None:
         self.log = log
-        # By revision of the view, and the peer's revision and configuration version.
-        self.kept: dict[tuple[int, int, int], _EncodedUpdate] = {}
+        # By position and tag of the view, and the peer's revision and configuration
+        # version.
+        self.kept: dict[tuple[tuple[int, int], int, int, int], _EncodedUpdate] = {}
 
     def answer(
-        self, request: PullRequest, view: FleetView, confirmed_at: float, now: float
+        self,
+        request: PullRequest,
+        view: FleetView,
+        confirmed_at: float,
+        now: float,
+        *,
+        carry_over: CarryOver | None = None,
     ) -> list[ViewPiece]:
-        """Return the pieces that a peer asks for, or the first ones of an update."""
+        """Return the pieces that a peer asks for, or the first ones of an update.
+
+        Whole views are sent with ``carry_over``.
+        """
         self._forget(now)
         if request.transfer:
             for encoded in self.kept.values():
@@ -82,7 +93,7 @@
                     return self._pieces(encoded, wanted, view, confirmed_at, now)
         if view.revision <= request.revision:
             return []
-        encoded = self._encoded(request, view, confirmed_at, now)
+        encoded = self._encoded(request, view, confirmed_at, now, carry_over)
         first = range(min(MAX_WANTED, encoded.count))
         return self._pieces(encoded, list(first), view, confirmed_at, now)
 
@@ -94,21 +105,28 @@
         confirmed_at: float,
         now: float,
     ) -> list[ViewPiece]:
-        if encoded.revision != view.revision:
+        if encoded.position != view.position:
             # The later confirmation is for another revision.
             confirmed_at = encoded.confirmed_at
         return [encoded.piece(index, confirmed_at, now) for index in wanted]
 
     def _encoded(
-        self, request: PullRequest, view: FleetView, confirmed_at: float, now: float
+        self,
+        request: PullRequest,
+        view: FleetView,
+        confirmed_at: float,
+        now: float,
+        carry_over: CarryOver | None,
     ) -> _EncodedUpdate:
-        key = view.revision, request.revision, request.version
+        key = view.position, view.content_tag, request.revision, request.version
         encoded = self.kept.get(key)
         if encoded is None:
             update = self.log.update_for(view, request.revision, request.version)
+            if update.is_whole and carry_over is not None:
+                update = replace(update, carry_over=carry_over)
             data = encode_update(update, now=now)
             transfer = crc32(data) or 1
-            encoded = _EncodedUpdate(data, transfer, view.revision, now, confirmed_at)
+            encoded = _EncodedUpdate(data, transfer, view.position, now, confirmed_at)
             self.kept[key] = encoded
         return encoded
 
--- a/src/balsamtide/flow_node/daemon.py
+++ b/src/balsamtide/flow_node/daemon.py
@@ -9,8 +9,14 @@
 from balsamtide.clock import boot_time
 from balsamtide.fleet.view_gossip import ViewGossip
 from balsamtide.flow_node.binding import SocketBinder, StopRequestedError
-from balsamtide.flow_node.events import DOCUMENT_REJECTED, NODE_STARTED, NODE_STOPPED
-from balsamtide.flow_node.metrics import DOCUMENTS_REJECTED
+from balsamtide.flow_node.events import (
+    DOCUMENT_REJECTED,
+    NODE_STARTED,
+    NODE_STOPPED,
+    STORE_ERA_UNKNOWN,
+)
+from balsamtide.flow_node.http import BaseHttpClient
+from balsamtide.flow_node.metrics import DOCUMENTS_REJECTED, STORE_ERAS_UNKNOWN
 from balsamtide.flow_node.runtime import FlowRuntime
 from balsamtide.flow_node.settings import FlowSettings, FlowSettingsError
 from balsamtide.flow_node.settings_source import SettingsSource
@@ -18,7 +24,7 @@
 from balsamtide.flow_node.startup_loop import StartupLoop
 from balsamtide.platform.packets import WirePackets
 from balsamtide.platform.settings import READINESS_PATH, read_settings, settings_path
-from balsamtide.platform.store import PlatformStore
+from balsamtide.platform.store import PlatformStore, StoreEra
 from balsamtide.telemetry.line_sink import LineSink
 from balsamtide.transport.addresses import parse_ipv4
 
@@ -62,6 +68,8 @@
         self.random = SystemRandom()
         self.sink = LineSink(instance=settings.instance)
         self.stop_requested_at = stop_requested_at
+        self.era = StoreEra(self._report_unknown_era)
+        self.has_reported_era = False
         self.binder = SocketBinder(self.sink, stop_requested_at=stop_requested_at)
 
     def run(self) -> None:
@@ -76,7 +84,7 @@
             return
         self._report_start()
         client = StartupClient(self.settings.store)
-        store = PlatformStore(client, watch_s=WATCH_S, on_reject=self._log_rejected)
+        store = self._make_store(client)
         loop = StartupLoop(
             runtime, client=client, store=store, timeout_s=STORE_TIMEOUT_S
         )
@@ -160,6 +168,17 @@
             bind=self.binder.bind,
         )
 
+    def _make_store(self, client: BaseHttpClient) -> PlatformStore:
+        return PlatformStore(
+            client, watch_s=WATCH_S, on_reject=self._log_rejected, era=self.era
+        )
+
+    def _report_unknown_era(self, reason: str) -> None:
+        self.sink.count(STORE_ERAS_UNKNOWN)
+        if not self.has_reported_era:
+            self.has_reported_era = True
+            self.sink.event(STORE_ERA_UNKNOWN, reason=reason)
+
     def _log_rejected(self, key: str, reason: str) -> None:
         self.sink.count(DOCUMENTS_REJECTED)
         self.sink.event(DOCUMENT_REJECTED, key=key, reason=reason)
@@ -175,7 +194,7 @@
         node = FlowNode(
             runtime=runtime,
             source=self.source,
-            store=PlatformStore(client, watch_s=WATCH_S, on_reject=self._log_rejected),
+            store=self._make_store(client),
             readiness_path=READINESS_PATH,
             random=self.random,
             stop_requested_at=self.stop_requested_at,
--- a/src/balsamtide/flow_node/events.py
+++ b/src/balsamtide/flow_node/events.py
@@ -13,8 +13,10 @@
     "SETTINGS_RELOADED",
     "SETTINGS_UNUSABLE",
     "STORE_BACK",
+    "STORE_ERA_UNKNOWN",
     "STORE_LOST",
     "STORE_READING",
+    "STORE_RESTORED",
     "VIEW_CHANGED",
 ]
 
@@ -92,7 +94,8 @@
         "revision": "revision of the store",
         "era": "number of times that the store was restored, as far as it says",
         "evacuated": "availability zones whose targets take no new flows",
-        "source": "the store, or the address of the process that sent the view",
+        "source": "the store, the address of the process that sent the view, or "
+        "grace-period at the end of one",
         "age_ms": "time since a reader confirmed the view as the newest, milliseconds",
         "targets": "changed targets with their states",
         "routes": "number of routes",
@@ -135,3 +138,32 @@
         "retry_ms": "delay of the next attempt, milliseconds",
     },
 )
+STORE_RESTORED = Event(
+    number=943,
+    name="store-restored",
+    level=Level.WARNING,
+    meaning="The view is of another era: the store was restored from a backup.  For "
+    "a grace period of 2.5 s, targets and evacuations that the backup lacks stay.",
+    action="Check that the operator has written the configuration and the "
+    "evacuations again that the backup lacks.",
+    fields={
+        "era": "era of the view",
+        "revision": "revision of the store",
+        "version": "configuration version, which never decreases",
+        "era_before": "era of the view before",
+        "revision_before": "revision of the view before",
+        "source": "the store, or the address of the process that sent the view",
+        "kept_targets": "targets that stay lapsed or draining",
+        "kept_zones": "availability zones that stay evacuated",
+    },
+)
+STORE_ERA_UNKNOWN = Event(
+    number=944,
+    name="store-era-unknown",
+    level=Level.INFO,
+    meaning="A response of the store did not state its era; the one that was read "
+    "last counts, or 0.  Logged once in a process.",
+    action="None if the store never states its era.  Otherwise check what is between "
+    "this process and the store.",
+    fields={"reason": "missing, or the value of the header"},
+)
--- a/src/balsamtide/flow_node/http.py
+++ b/src/balsamtide/flow_node/http.py
@@ -1,7 +1,8 @@
 """HTTP clients of the platform's store: interface, and use of one connection."""
 
 from abc import ABC, abstractmethod
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 
 from balsamtide.fleet.store import StoreError
 
@@ -19,10 +20,21 @@
 
 @dataclass(frozen=True, slots=True)
 class HttpResponse:
-    """Status code and body of a response."""
+    """Status code, body and header fields of a response.
+
+    Parameters
+    ----------
+    status : int
+        Status code.
+    body : bytes
+        The body.
+    headers : mapping of bytes to bytes
+        Values by name in lower case; values of a repeated field are joined by commas.
+    """
 
     status: int
     body: bytes
+    headers: Mapping[bytes, bytes] = field(default_factory=dict, compare=False)
 
 
 class BaseHttpClient(ABC):
--- a/src/balsamtide/flow_node/http_connection.py
+++ b/src/balsamtide/flow_node/http_connection.py
@@ -36,6 +36,7 @@
         self.host = host
         self.connection = Connection(CLIENT)
         self.status = 0
+        self.headers: dict[bytes, bytes] = {}
         self.body = bytearray()
         self.has_response_begun = False
 
@@ -96,12 +97,15 @@
                 return None
             if isinstance(event, Response):
                 self.status = event.status_code
-                self._check_length(_announced_length(event))
+                self.headers = _joined_headers(event)
+                # The body of an oversized response need not be received.  h11 has
+                # checked that the length is a number.
+                self._check_length(int(self.headers.get(b"content-length", b"0")))
             elif isinstance(event, Data):
                 self.body += event.data
                 self._check_length(len(self.body))
             elif isinstance(event, EndOfMessage):
-                return HttpResponse(self.status, bytes(self.body))
+                return HttpResponse(self.status, bytes(self.body), self.headers)
             elif isinstance(event, ConnectionClosed):
                 raise StoreError(
                     f"{self.host}: the server closed the connection after "
@@ -109,11 +113,10 @@
                 )
 
 
-def _announced_length(response: Response) -> int:
-    """Return the length of the body if the response states it, else 0.
-
-    The body of an oversized response need not be received then.
-    """
-    # h11 has checked that the value is a number.
-    values = (value for name, value in response.headers if name == b"content-length")
-    return int(next(values, b"0"))
+def _joined_headers(response: Response) -> dict[bytes, bytes]:
+    """Return the header fields by name; repeated ones are joined (RFC 9110, 5.3)."""
+    headers: dict[bytes, bytes] = {}
+    for name, value in response.headers:
+        known = headers.get(name)
+        headers[name] = value if known is None else known + b", " + value
+    return headers
--- a/src/balsamtide/flow_node/metrics.py
+++ b/src/balsamtide/flow_node/metrics.py
@@ -6,7 +6,9 @@
     "BIND_FAILURES",
     "DOCUMENTS_REJECTED",
     "STORE_CALLS",
+    "STORE_ERAS_UNKNOWN",
     "VIEW_AGE",
+    "VIEW_ERAS",
     "VIEW_PULLS",
 ]
 
@@ -22,6 +24,11 @@
     meaning="Requests to the platform's store.",
     labels=("outcome",),
 )
+STORE_ERAS_UNKNOWN = Metric(
+    name="store_eras_unknown_total",
+    kind=MetricKind.COUNTER,
+    meaning="Responses of the platform's store that did not state its era.",
+)
 DOCUMENTS_REJECTED = Metric(
     name="documents_rejected_total",
     kind=MetricKind.COUNTER,
@@ -33,6 +40,11 @@
     meaning="Pulls of the view from other processes.",
     labels=("outcome",),
 )
+VIEW_ERAS = Metric(
+    name="view_eras_total",
+    kind=MetricKind.COUNTER,
+    meaning="Changes of the view to another era of the store, after it was restored.",
+)
 VIEW_AGE = Metric(
     name="view_age_seconds",
     kind=MetricKind.GAUGE,
--- a/src/balsamtide/flow_node/runtime.py
+++ b/src/balsamtide/flow_node/runtime.py
@@ -11,8 +11,8 @@
 from balsamtide.clock import boot_time
 from balsamtide.fleet.view import FleetView
 from balsamtide.fleet.view_gossip import ViewGossip
-from balsamtide.flow_node.events import PULL_FAILED, VIEW_CHANGED
-from balsamtide.flow_node.metrics import VIEW_AGE, VIEW_PULLS
+from balsamtide.flow_node.events import PULL_FAILED, STORE_RESTORED, VIEW_CHANGED
+from balsamtide.flow_node.metrics import VIEW_AGE, VIEW_ERAS, VIEW_PULLS
 from balsamtide.flow_node.settings import FlowSettings
 from balsamtide.flows.metrics import PACKETS_REJECTED
 from balsamtide.flows.processor import FlowProcessor
@@ -159,7 +159,10 @@
             if batch:
                 handler(batch, now)
         self.sink.gauge(VIEW_AGE, self.gossip.age(now))
+        before = self.gossip.view
         self.execute(self.processor.tick(now))
+        if self.gossip.view is not before:
+            self.process_view_change(before, "grace-period")
 
     # View changes
 
@@ -167,6 +170,8 @@
         """Report a changed view and execute the actions that follow from it."""
         view = self.gossip.view
         now = boot_time()
+        if view.era != before.era and before.revision >= 0:
+            self._report_restored(before, source)
         # The tag covers the configuration version, the targets and the evacuations.
         if view.content_tag != before.content_tag:
             self.sink.event(
@@ -184,6 +189,22 @@
             self.has_view = True
             self.execute(self.on_view_change(now))
 
+    def _report_restored(self, before: FleetView, source: str) -> None:
+        """Report a view of another era, and what is kept of the one before."""
+        view, kept = self.gossip.view, self.gossip.carry_over
+        self.sink.count(VIEW_ERAS)
+        self.sink.event(
+            STORE_RESTORED,
+            era=view.era,
+            revision=view.revision,
+            version=view.configuration.version,
+            era_before=before.era,
+            revision_before=before.revision,
+            source=source,
+            kept_targets=" ".join(map(str, kept.targets.values())) if kept else "",
+            kept_zones=" ".join(sorted(kept.evacuated_zones)) if kept else "",
+        )
+
 
 def _changed_targets(before: FleetView, after: FleetView) -> list[str]:
     changed = [
--- a/src/balsamtide/flow_node/startup_loop.py
+++ b/src/balsamtide/flow_node/startup_loop.py
@@ -169,6 +169,9 @@
         gossip = self.runtime.gossip
         now = boot_time()
         before = gossip.view
-        view = with_listing(before, result, grace_until=-inf, now=now)
+        view = with_listing(gossip.shared_view, result, grace_until=-inf, now=now)
+        if view.era > result.era:
+            # A peer has passed on a view that is newer than this read.
+            return
         self.runtime.execute(gossip.apply_store_view(view, now))
         self.runtime.process_view_change(before, "store")
--- a/src/balsamtide/flow_node/store_reader.py
+++ b/src/balsamtide/flow_node/store_reader.py
@@ -111,30 +111,46 @@
 
     async def _read_view(self) -> FleetView | None:
         """Return the view after a read, None if the store has to be listed next."""
-        current = self.gossip.view
+        current = self.gossip.shared_view
+        should_list = self.gossip.should_list(current_time())
         # The revision is negative until a view was read or pulled.
-        if self.needs_listing or current.revision < 0:
-            listing = await self.store.read_all()
-            self._record_success()
-            self.needs_listing = False
-            return with_listing(
-                self.gossip.view,
-                listing,
-                grace_until=self.grace_until,
-                now=current_time(),
-            )
+        if self.needs_listing or should_list or current.revision < 0:
+            return await self._list(current)
         changes = await self._watch(current.revision)
+        # The view may be of another era by now, to which the changes do not belong.
+        eras = {current.era, self.gossip.shared_view.era}
+        if changes is not None and eras != {changes.era}:
+            self.sink.count(STORE_CALLS, outcome="other-era")
+            changes = None
         if changes is None:
             self.needs_listing = True
             return None
         self._record_success()
         return with_changes(
-            self.gossip.view,
+            self.gossip.shared_view,
             changes,
             grace_until=self.grace_until,
             now=current_time(),
         )
 
+    async def _list(self, current: FleetView) -> FleetView | None:
+        """Return the view after a listing, None if the store has to be listed again."""
+        listing = await self.store.read_all()
+        if (listing.era, listing.revision) < current.position:
+            raise StoreError(
+                f"the store is at revision {listing.revision} of era {listing.era}, "
+                f"behind revision {current.revision} of era {current.era} of the view"
+            )
+        view = self.gossip.shared_view
+        if listing.era < view.era:
+            self.needs_listing = True
+            return None
+        self._record_success()
+        self.needs_listing = False
+        return with_listing(
+            view, listing, grace_until=self.grace_until, now=current_time()
+        )
+
     async def _watch(self, revision: int) -> StoreChanges | None:
         """Return the changes after a revision, None if they can't be read."""
         try:
--- a/src/balsamtide/platform/store.py
+++ b/src/balsamtide/platform/store.py
@@ -30,12 +30,18 @@
     decode_zone,
 )
 
-__all__ = ["PlatformStore"]
+__all__ = ["PlatformStore", "StoreEra"]
 
 RANGE_PATH = "/-/kv-range"
 WATCH_PATH = "/-/kv-watch"
 # Empty prefix, so that one watch covers all keys.
 ALL_KEYS = ""
+# Number of times that the store was restored, in all of its responses.
+ERA_HEADER = b"store-era"
+# Frames between processes hold signed integers of 64 bits.
+MAX_ERA_DIGITS = 18
+# A store that is restored during a listing is listed again, so many times at most.
+MAX_LISTINGS = 3
 OK = 200
 GONE = 410
 
@@ -43,6 +49,31 @@
 RejectCallback = Callable[[str, str], None]
 
 
+class StoreEra:
+    """Reads the store's era from the headers of its responses.
+
+    Parameters
+    ----------
+    on_unreadable : callable
+        Called with the reason for each response without a usable era.
+    """
+
+    def __init__(self, on_unreadable: Callable[[str], None]) -> None:
+        self.on_unreadable = on_unreadable
+        # The era that was read last, 0 if there was none.
+        self.latest = 0
+
+    def record(self, headers: Mapping[bytes, bytes]) -> None:
+        """Read the era of a response; without a usable one, the last one counts."""
+        value = headers.get(ERA_HEADER)
+        if value is None:
+            self.on_unreadable("missing")
+        elif not value.isdigit() or len(value) > MAX_ERA_DIGITS:
+            self.on_unreadable(f"{value!r:.40}")
+        else:
+            self.latest = int(value)
+
+
 class PlatformStore(FleetStore):
     """Reads the platform's store over one connection at a time.
 
@@ -54,21 +85,44 @@
         Longest time that the server may hold a watch, seconds.
     on_reject : callable
         Called with key and reason for each document that can't be decoded.
+    era : StoreEra or None
+        Reads the era of responses; several clients of a process share it.
     """
 
     def __init__(
-        self, client: BaseHttpClient, *, watch_s: float, on_reject: RejectCallback
+        self,
+        client: BaseHttpClient,
+        *,
+        watch_s: float,
+        on_reject: RejectCallback,
+        era: StoreEra | None = None,
     ) -> None:
         self.client = client
+        self.era = era or StoreEra(lambda _: None)
         self.watch_s = watch_s
         self.on_reject = on_reject
 
     async def read_all(self) -> Listing:
-        """Return the configuration, all targets and the evacuated zones."""
+        """Return the configuration, all targets and the evacuated zones.
+
+        Raises
+        ------
+        StoreError
+            If the store does not answer, or was restored during each of some listings.
+        """
+        for _ in range(MAX_LISTINGS):
+            listing = await self._read_listing()
+            # Pages of several eras do not fit together.
+            if listing.era == self.era.latest:
+                return listing
+        raise StoreError(f"{RANGE_PATH}: the store's era changes again and again")
+
+    async def _read_listing(self) -> Listing:
+        """Return the contents of the store, with the era of the first page."""
         # The revision of the first page, so that a watch from there misses no change
         # that is made between the pages.
-        operator_items, revision = await self._read_range(OPERATOR_PREFIX)
-        target_items, _ = await self._read_range(TARGET_PREFIX)
+        operator_items, revision, era = await self._read_range(OPERATOR_PREFIX)
+        target_items, _, _ = await self._read_range(TARGET_PREFIX)
         configuration: FlowConfiguration | None = None
         zones: set[str] = set()
         for change in self._decode_changes(operator_items):
@@ -79,22 +133,23 @@
         reads = (self._decode_target(item) for item in target_items)
         targets = tuple(read.target for read in reads if read.target is not None)
         return Listing(
-            revision, configuration, targets, evacuated_zones=frozenset(zones)
+            revision, configuration, targets, era, evacuated_zones=frozenset(zones)
         )
 
-    async def _read_range(self, prefix: str) -> tuple[list[dict[str, Any]], int]:
-        """Return all items under a prefix, and the revision of the first page."""
+    async def _read_range(self, prefix: str) -> tuple[list[dict[str, Any]], int, int]:
+        """Return all items under a prefix; revision and era are of the first page."""
         found: list[dict[str, Any]] = []
         revision: int | None = None
+        era = 0
         query = {"prefix": prefix}
         while True:
             page = await self._call(RANGE_PATH, query)
             if revision is None:
-                revision = _get_integer(page, "storeRevision")
+                revision, era = _get_integer(page, "storeRevision"), self.era.latest
             items = [i for i in _get_list(page, "items") if isinstance(i, dict)]
             found += items
             if not page.get("morePages") or not items:
-                return found, revision
+                return found, revision, era
             query["after"] = str(items[-1].get("key"))
 
     async def watch(self, after: int) -> StoreChanges:
@@ -117,7 +172,8 @@
             event for event in _get_list(response, "events") if isinstance(event, dict)
         ]
         revision = max(after, _get_integer(response, "storeRevision"))
-        return StoreChanges(revision, tuple(self._decode_changes(events)))
+        changes = tuple(self._decode_changes(events))
+        return StoreChanges(revision, changes, self.era.latest)
 
     async def _call(
         self,
@@ -129,6 +185,7 @@
         from urllib.parse import urlencode
 
         response = await self.client.get(f"{path}?{urlencode(query)}", wait_s=wait_s)
+        self.era.record(response.headers)
         if response.status == GONE:
             raise HistoryGoneError(
                 f"{path}: the history after revision {query.get('after')} is no longer "
--- a/tests/fakes_platform.py
+++ b/tests/fakes_platform.py
@@ -55,18 +55,22 @@
 
 
 class ScriptedHttpClient(BaseHttpClient):
-    """HTTP client that returns scripted responses."""
+    """HTTP client that returns scripted responses.
 
-    def __init__(self, *responses: tuple[int, object]) -> None:
+    A response has a status, a document or bytes, and the store's era if it states it.
+    """
+
+    def __init__(self, *responses: tuple) -> None:
         self.responses = list(responses)
         self.paths: list[str] = []
 
     async def get(self, path: str, *, wait_s: float = 0.0) -> HttpResponse:
         """Return the next response."""
         self.paths.append(path)
-        status, document = self.responses.pop(0)
+        status, document, *era = self.responses.pop(0)
         body = document if isinstance(document, bytes) else to_json(document)
-        return HttpResponse(status, body)
+        headers = {b"store-era": era[0].encode()} if era else {}
+        return HttpResponse(status, body, headers)
 
 
 def run_to_end(call):
@@ -93,7 +97,7 @@
     return {"items": list(items), "morePages": has_more, "storeRevision": revision}
 
 
-def make_store(*responses: tuple[int, object]) -> tuple[PlatformStore, list]:
+def make_store(*responses: tuple) -> tuple[PlatformStore, list]:
     """Return a store with scripted responses, and the list of rejected keys."""
     rejected: list[str] = []
     store = PlatformStore(
--- a/tests/test_flow_platform.py
+++ b/tests/test_flow_platform.py
@@ -23,6 +23,7 @@
 )
 from balsamtide.platform.packets import HEADER_BYTES, MAX_DATA_BYTES, WirePackets
 from balsamtide.platform.settings import decode_settings
+from balsamtide.platform.store import StoreEra
 from balsamtide.protocol.flow_frames import service_tag
 from balsamtide.transport.addresses import parse_ipv4
 from tests.fakes_platform import (
@@ -331,6 +332,48 @@
     assert isinstance(fourth, ConfigurationChange)
 
 
+@pytest.mark.parametrize(
+    ("values", "eras", "reasons"),
+    [
+        ([b"3", b"4"], [3, 4], 0),
+        ([None, None], [0, 0], 2),
+        ([b"3", None], [3, 3], 1),
+        ([b"3", b"-1"], [3, 3], 1),
+        ([b"3", b"4, 4"], [3, 3], 1),
+        ([b"3", b"9" * 5000], [3, 3], 1),
+        ([b"", b"0"], [0, 0], 1),
+        ([b"\xb2", b"2"], [0, 2], 1),
+    ],
+    ids=str,
+)
+def test_era_of_a_response(values, eras, reasons):
+    """A header that is missing or odd is counted, and the era read last counts."""
+    unreadable: list[str] = []
+    era = StoreEra(unreadable.append)
+    read = []
+    for value in values:
+        era.record({} if value is None else {b"store-era": value})
+        read.append(era.latest)
+    assert read == eras
+    assert len(unreadable) == reasons
+
+
+@pytest.mark.parametrize(
+    ("eras", "expected"),
+    [("11", 1), ("1222", 2), ("123444", 4), ("123456", None)],
+    ids=["one", "restored", "twice", "again-and-again"],
+)
+def test_listing_has_pages_of_one_era(eras, expected):
+    """A listing that a restore interrupts begins anew, a few times at most."""
+    store, _ = make_store(*((200, page(revision=int(era)), era) for era in eras))
+    if expected is None:
+        with pytest.raises(StoreError):
+            run_to_end(store.read_all())
+        return
+    listing = run_to_end(store.read_all())
+    assert (listing.era, listing.revision) == (expected, expected)
+
+
 @pytest.mark.parametrize(
     ("status", "body", "error"),
     [
--- a/tests/test_store_reader.py
+++ b/tests/test_store_reader.py
@@ -1,5 +1,6 @@
 """Tests of the task that reads the store, with scripted responses."""
 
+from dataclasses import replace
 from math import inf
 from random import Random
 
@@ -23,9 +24,12 @@
     ----------
     watches : iterable of bytes or int
         Bodies of the watches, or statuses; after the last one nothing changes.
+    era : str or None
+        Value of the header in all responses, None for no header.
     """
 
-    def __init__(self, *watches: bytes | int) -> None:
+    def __init__(self, *watches: bytes | int, era: str | None = None) -> None:
+        self.era = era
         self.watches = list(watches)
         self.items = [item("op/config", CONFIGURATION)]
         self.revision = 9
@@ -36,8 +40,10 @@
         status, body = self.answer(path)
         connection = HttpConnection("store")
         connection.request(path)
-        head = f"HTTP/1.1 {status} -\r\nContent-Length: {len(body)}\r\n\r\n"
-        response = connection.receive(head.encode() + body)
+        head = f"HTTP/1.1 {status} -\r\nContent-Length: {len(body)}\r\n"
+        if self.era is not None:
+            head += f"Store-Era: {self.era}\r\n"
+        response = connection.receive(head.encode() + b"\r\n" + body)
         assert response is not None
         return response
 
@@ -105,3 +111,78 @@
     assert "watch" not in client.calls[1:]
     assert reader.gossip.view.configuration.version == 8
     assert reader.outage_started_at == inf
+
+
+def restore(client: StoreOfItems, *, era: str | None, revision: int) -> None:
+    """Let a store come back with another version under an old revision."""
+    client.era = era
+    client.items = [item("op/config", CONFIGURATION | {"version": 8})]
+    client.revision = revision
+    client.calls.clear()
+
+
+@pytest.mark.parametrize("revision", [5, 9, 30], ids=["behind", "same", "ahead"])
+def test_response_of_another_era_leads_to_a_listing(revision):
+    """Changes of another era are not applied, though the store gives no 410.
+
+    Its revisions were given out again, so that the changes are not those that the
+    view lacks.
+    """
+    client = StoreOfItems(era="1")
+    reader = make_reader(client)
+    read(reader, 1)
+    client.watches = [to_json({"events": [], "storeRevision": 40})]
+    restore(client, era="2", revision=revision)
+    read(reader, 2)
+    assert client.calls == ["watch", "range", "range"]
+    assert reader.gossip.view.position == (2, revision)
+    assert reader.gossip.view.configuration.version == 8
+
+
+def test_changes_for_a_view_that_was_replaced_lead_to_a_listing():
+    """A watch that began in an earlier era does not continue the view of a peer."""
+    client = StoreOfItems(era="1")
+    reader = make_reader(client)
+    read(reader, 1)
+    gossip, answer = reader.gossip, client.answer
+
+    def answer_late(path: str) -> tuple[int, bytes]:
+        newer = replace(gossip.shared_view, era=2, revision=4)
+        gossip.apply_store_view(newer, 0.0)
+        return answer(path)
+
+    client.answer = answer_late
+    client.era = "2"
+    read(reader, 1)
+    assert gossip.view.position == (2, 4)
+    assert reader.needs_listing
+
+
+@pytest.mark.parametrize("era", ["1", "0"])
+def test_store_behind_the_view_is_not_asked_in_a_loop(era):
+    """A store that is behind counts as failed; its calls have to be paid for."""
+    client = StoreOfItems(410, era="1")
+    reader = make_reader(client)
+    read(reader, 1)
+    confirmed_at = reader.gossip.confirmed_at
+    restore(client, era=era, revision=5)
+    read(reader, 4)
+    assert len(client.calls) <= 7
+    assert reader.outage_started_at < inf
+    assert reader.gossip.view.position == (1, 9)
+    assert reader.gossip.confirmed_at == confirmed_at
+
+
+def test_store_without_the_header_stays_in_one_era():
+    """Without a header, nothing but the revision orders what is read."""
+    client = StoreOfItems()
+    reader = make_reader(client)
+    read(reader, 1)
+    restore(client, era=None, revision=12)
+    client.watches = [
+        to_json({"events": client.items, "storeRevision": client.revision})
+    ]
+    read(reader, 2)
+    assert client.calls == ["watch", "watch"]
+    assert reader.gossip.view.position == (0, 12)
+    assert reader.gossip.view.configuration.version == 8
