Restore the stand-in store, and evacuate zones in the soak

LoopbackStore states its era, pages ranges, answers 410 to a watch after a revision that it does not have, and goes back to a backup. The soak restores the store from a backup up to 3 s old and evacuates a zone; targets check that no opening packet comes after the bound. Both faults are drawn apart, so that recorded seeds draw the earlier faults as before.

--- a/bench/fault_soak/faults.py
+++ b/bench/fault_soak/faults.py
@@ -10,6 +10,7 @@
 
 from trio import current_time, open_nursery, sleep
 
+from bench.fault_soak.fleet import EVACUATION_S
 from bench.fault_soak.store_link import LinkFault
 
 if TYPE_CHECKING:
@@ -30,12 +31,20 @@
 DRAIN_S = 3.0
 HEARTBEAT_S = 0.4
 MAX_SKEW_S = 3.0
+# Restored stores and evacuations are drawn apart, so that the seeds of earlier faults
+# draw these faults as before.
+LATER_SHARE = 0.5
+# Age of a backup, and the time within which what it lacks is written again.
+BACKUP_AGE_S = (0.5, 3.0)
+WRITTEN_AGAIN_S = 2.0
+# An evacuation lasts beyond the bound, so that the check sees opening packets after it.
+EVACUATED_S = EVACUATION_S + 3.0
 
 
 def draw_faults(run: SoakRun) -> list[Fault]:
     """Draw the faults of a run from its seed."""
     random = Random(run.options.seed)
-    return [
+    faults = [
         partial(
             _inject,
             run,
@@ -45,6 +54,13 @@
         )
         for _ in range(random.randint(MIN_FAULTS, MAX_FAULTS))
     ]
+    later = Random(f"later faults of {run.options.seed}")
+    for kind in LATER_KINDS:
+        delay_s = later.uniform(0.0, run.options.faults_s)
+        own = Random(later.getrandbits(32))
+        if later.random() < LATER_SHARE:
+            faults.append(partial(_inject, run, kind, delay_s, own))
+    return faults
 
 
 async def _inject(
@@ -56,9 +72,10 @@
 
 
 async def _restart(run: SoakRun, host: str, random: Random) -> None:
-    run.fleet.kill(host)
-    await sleep(random.uniform(*RESTART_S))
-    run.fleet.start(host)
+    with run.disturbance():
+        run.fleet.kill(host)
+        await sleep(random.uniform(*RESTART_S))
+        run.fleet.start(host)
 
 
 # Processes
@@ -80,18 +97,20 @@
 async def pause_processes(run: SoakRun, random: Random) -> None:
     """Let some processes stand still."""
     hosts = random.sample(list(run.fleet.daemons), random.randint(1, 2))
-    for host in hosts:
-        run.fleet.send(host, signal.SIGSTOP)
-    await sleep(random.uniform(*LONG_S))
-    for host in hosts:
-        run.fleet.send(host, signal.SIGCONT)
+    with run.disturbance():
+        for host in hosts:
+            run.fleet.send(host, signal.SIGSTOP)
+        await sleep(random.uniform(*LONG_S))
+        for host in hosts:
+            run.fleet.send(host, signal.SIGCONT)
 
 
 async def roll_processes(run: SoakRun, random: Random) -> None:
     """Stop and start some processes as planned."""
     for host in random.sample(list(run.fleet.daemons), 3):
-        await run.fleet.stop(host)
-        run.fleet.start(host)
+        with run.disturbance():
+            await run.fleet.stop(host)
+            run.fleet.start(host)
 
 
 async def change_settings(run: SoakRun, random: Random) -> None:
@@ -112,8 +131,9 @@
     if lapses:
         for host in run.targets:
             run.remove_record(host)
-    await sleep(random.uniform(*LONG_S))
-    run.store.is_down = False
+    with run.disturbance():
+        await sleep(random.uniform(*LONG_S))
+        run.store.is_down = False
     if lapses:
         await _write_records(run, random)
 
@@ -130,15 +150,17 @@
     hosts = random.sample(list(run.fleet.daemons), random.randint(1, 4))
     for host in hosts:
         run.fleet.daemons[host].link.fault = random.choice(list(LinkFault))
-    await sleep(random.uniform(*LONG_S))
-    for host in hosts:
-        run.fleet.daemons[host].link.fault = LinkFault.NONE
+    with run.disturbance():
+        await sleep(random.uniform(*LONG_S))
+        for host in hosts:
+            run.fleet.daemons[host].link.fault = LinkFault.NONE
 
 
 async def silence_connections(run: SoakRun, random: Random) -> None:
     """Silence all open connections to the store for good."""
-    for daemon in run.fleet.daemons.values():
-        daemon.link.silence_open_connections()
+    with run.disturbance():
+        for daemon in run.fleet.daemons.values():
+            daemon.link.silence_open_connections()
 
 
 async def compact_store(run: SoakRun, random: Random) -> None:
@@ -146,9 +168,33 @@
     run.store.compact()
 
 
+async def restore_store(run: SoakRun, random: Random) -> None:
+    """Let the store come back from a backup; what it lacks is written again."""
+    backup = run.store.backup()
+    await sleep(random.uniform(*BACKUP_AGE_S))
+    with run.disturbance():
+        run.store.is_down = True
+        await sleep(random.uniform(*SHORT_S))
+        run.store.restore(backup)
+        run.store.is_down = False
+    lost = sorted(run.written.keys() | backup.items.keys())
+    random.shuffle(lost)
+    for key in lost:
+        await sleep(WRITTEN_AGAIN_S / len(lost))
+        run.write_again(key)
+
+
 # The operator and the targets
 
 
+async def evacuate_zone(run: SoakRun, random: Random) -> None:
+    """Evacuate one availability zone and return it to service."""
+    zone = random.choice(sorted({t.zone for t in run.targets.values()}))
+    run.evacuate(zone)
+    await sleep(EVACUATED_S)
+    run.end_evacuation(zone)
+
+
 async def change_routes(run: SoakRun, random: Random) -> None:
     """Publish configurations; the last route may be dropped and come back."""
     route = run.routes[-1]
@@ -229,3 +275,4 @@
     harm_packets,
     harm_target_path,
 )
+LATER_KINDS: tuple[FaultKind, ...] = (restore_store, evacuate_zone)
--- a/bench/fault_soak/fleet.py
+++ b/bench/fault_soak/fleet.py
@@ -15,11 +15,14 @@
 from bench.fault_soak.store_link import StoreLink
 from bench.standins.flow_platform import LoopbackStore, settings_document
 
-__all__ = ["DaemonProcess", "SoakFleet"]
+__all__ = ["EVACUATION_S", "DaemonProcess", "SoakFleet"]
 
 POLL_S = 0.05
 # The platform ends a process this long after the request to stop.
 GRACE_S = 6.0
+# Within this time an evacuated zone gets no more new flows; shorter than on the
+# platform, so that runs stay short.
+EVACUATION_S = 3.0
 
 
 @dataclass(slots=True)
@@ -32,6 +35,8 @@
         Loopback address of its instance.
     service : str
         Service of its target, empty for a balancer.
+    zone : str
+        Availability zone.
     link : StoreLink
         Its way to the store.
     child : Popen or None
@@ -44,6 +49,7 @@
 
     host: str
     service: str
+    zone: str
     link: StoreLink
     child: subprocess.Popen[bytes] | None = None
     is_end_expected: bool = False
@@ -80,12 +86,14 @@
     log: PromiseLog
     daemons: dict[str, DaemonProcess] = field(default_factory=dict)
 
-    async def add(self, nursery: Nursery, host: str, service: str = "") -> None:
+    async def add(
+        self, nursery: Nursery, host: str, *, zone: str, service: str = ""
+    ) -> None:
         """Add an instance and start its daemon."""
         store_host, _, store_port = self.store.address.rpartition(":")
         link = StoreLink((store_host, int(store_port)))
         await link.listen(nursery, "127.0.0.1")
-        self.daemons[host] = DaemonProcess(host, service, link)
+        self.daemons[host] = DaemonProcess(host, service, zone, link)
         self.write_settings(host)
         self.start(host)
 
@@ -98,6 +106,8 @@
             store=daemon.link.address,
             seeds=self.seeds,
             service=daemon.service,
+            zone=daemon.zone,
+            evacuate_ms=round(EVACUATION_S * 1000),
         )
         path = self.folder / f"{host}.yaml"
         draft = path.with_suffix(".new")
--- a/bench/fault_soak/promises.py
+++ b/bench/fault_soak/promises.py
@@ -14,6 +14,7 @@
     AT_MOST_ONCE = "a request that must not be repeated runs once at most"
     OPEN_FLOW = "an open flow is not reset while its target holds it"
     DRAIN = "a leaving target gets no new flow after the drain time"
+    EVACUATION = "an evacuated zone gets no new flow after the platform's bound"
     STOP = "a process ends only when asked to, and then with exit code 0"
     RECOVERY = "requests are served again once the faults are over"
 
--- a/bench/fault_soak/soak_run.py
+++ b/bench/fault_soak/soak_run.py
@@ -1,7 +1,8 @@
 """One run of the soak from its seed: calm, faults in overlapping series, calm again."""
 
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
 from random import Random
@@ -12,7 +13,7 @@
 from balsamtide.transport.addresses import parse_ipv4
 from bench.fault_soak.client import ClientPool, Route
 from bench.fault_soak.faults import draw_faults
-from bench.fault_soak.fleet import SoakFleet
+from bench.fault_soak.fleet import EVACUATION_S, SoakFleet
 from bench.fault_soak.promises import Breach, Promise, PromiseLog
 from bench.fault_soak.router import Router
 from bench.fault_soak.target import SoakTarget
@@ -27,6 +28,7 @@
 
 PORT_NAMES = ("packets", "ready", "inner", "from_target", "to_target")
 SERVICES = ("orders", "proofs")
+ZONES = ("zone-1", "zone-2")
 ADDRESSES = {
     ("198.18.0.1", 8443): "orders",
     ("198.18.0.2", 8443): "proofs",
@@ -42,6 +44,8 @@
 # What the platform allows: the drain time, a lagging reader and a slow machine.
 DRAIN_TIMEOUT_S = 3.0
 DRAIN_SLACK_S = 2.0
+# The platform measures at its own clock, and a packet may be under way.
+EVACUATION_SLACK_S = 0.5
 # A client may send on a route for so long after it was dropped.
 DROP_SLACK_S = 3.0
 # Once the faults are over, so much time passes before calls have to be served.
@@ -108,6 +112,13 @@
     version: int = 1
     # Targets that left: no record is written for them any more.
     gone: set[str] = field(default_factory=set)
+    # What operator and targets have written; a restored store lacks some of it.
+    written: dict[str, dict] = field(default_factory=dict)
+    # When the store acknowledged the evacuation of each zone.
+    evacuated: dict[str, float] = field(default_factory=dict)
+    # Faults that keep processes from learning of evacuations, and the last end of one.
+    disturbances: int = 0
+    undisturbed_since: float = 0.0
 
     def __post_init__(self) -> None:
         options = self.options
@@ -131,7 +142,10 @@
             for (host, port), service in ADDRESSES.items()
         ]
         for index in range(options.targets):
-            self._make_target(f"127.0.2.{index + 1}", SERVICES[index % len(SERVICES)])
+            service = SERVICES[index % len(SERVICES)]
+            # Each service has targets in both zones.
+            zone = ZONES[index // len(SERVICES) % len(ZONES)]
+            self._make_target(f"127.0.2.{index + 1}", service, zone)
         self.clients = ClientPool(
             parse_ipv4(CLIENT_HOST),
             self.router,
@@ -142,7 +156,7 @@
             self._is_reset_allowed,
         )
 
-    def _make_target(self, host: str, service: str) -> None:
+    def _make_target(self, host: str, service: str, zone: str) -> None:
         self.targets[host] = SoakTarget(
             host,
             service,
@@ -152,6 +166,8 @@
             self.random,
             self.runs,
             self.may_serve,
+            zone,
+            self.is_evacuated,
         )
 
     # What the operator and the targets write
@@ -166,7 +182,7 @@
             )
             if route.dropped_at == float("inf")
         }
-        self.store.put("op/config", configuration_document(services, self.version))
+        self._put("op/config", configuration_document(services, self.version))
 
     def write_record(
         self, host: str, *, state: str = "ready", skew_s: float = 0
@@ -175,13 +191,59 @@
         target = self.targets[host]
         born_ms = round((time() + skew_s) * 1000)
         record = target_document(
-            host, self.ports, target.service, state=state, born_ms=born_ms
+            host,
+            self.ports,
+            target.service,
+            state=state,
+            born_ms=born_ms,
+            zone=target.zone,
         )
-        self.store.put(f"servers/{host}-{target.incarnation}", record)
+        self._put(f"servers/{host}-{target.incarnation}", record)
 
     def remove_record(self, host: str) -> None:
         """Remove the record of a target's present start."""
-        self.store.remove(f"servers/{host}-{self.targets[host].incarnation}")
+        self._remove(f"servers/{host}-{self.targets[host].incarnation}")
+
+    def evacuate(self, zone: str) -> None:
+        """Begin the evacuation of a zone."""
+        self._put(f"op/evacuate/{zone}", {})
+        self.evacuated[zone] = current_time()
+
+    def end_evacuation(self, zone: str) -> None:
+        """End the evacuation of a zone."""
+        del self.evacuated[zone]
+        self._remove(f"op/evacuate/{zone}")
+
+    def _put(self, key: str, document: dict) -> None:
+        self.written[key] = document
+        self.store.put(key, document)
+
+    def _remove(self, key: str) -> None:
+        self.written.pop(key, None)
+        self.store.remove(key)
+
+    def write_again(self, key: str) -> None:
+        """Give one key of a restored store what was written last."""
+        if key in self.written:
+            self.store.put(key, self.written[key])
+        else:
+            self.store.remove(key)
+
+    @contextmanager
+    def disturbance(self) -> Iterator[None]:
+        """Hold while a fault keeps processes from learning what the store has."""
+        self.disturbances += 1
+        yield
+        self.disturbances -= 1
+        self.undisturbed_since = current_time()
+
+    def is_evacuated(self, zone: str) -> bool:
+        """Whether the targets of a zone must get no opening packets now."""
+        evacuated_at = self.evacuated.get(zone)
+        if evacuated_at is None or self.disturbances:
+            return False
+        known_at = max(evacuated_at, self.undisturbed_since)
+        return current_time() > known_at + EVACUATION_S + EVACUATION_SLACK_S
 
     def may_serve(self, service: str, address: tuple[int, int]) -> bool:
         """Whether a configuration ever sent flows to an address to a service."""
@@ -201,9 +263,12 @@
                 for host, target in self.targets.items():
                     nursery.start_soon(target.run, nursery)
                     self.write_record(host)
-                    await self.fleet.add(nursery, host, target.service)
-                for host in self.router.balancers:
-                    await self.fleet.add(nursery, host)
+                    await self.fleet.add(
+                        nursery, host, zone=target.zone, service=target.service
+                    )
+                for index, host in enumerate(self.router.balancers):
+                    zone = ZONES[index % len(ZONES)]
+                    await self.fleet.add(nursery, host, zone=zone)
                 nursery.start_soon(self.fleet.watch)
                 await self._play_phases()
                 nursery.cancel_scope.cancel()
--- a/bench/fault_soak/target.py
+++ b/bench/fault_soak/target.py
@@ -87,6 +87,10 @@
         Starts of each request, over all targets.
     may_serve : callable
         Whether a service may get a flow to an address.
+    zone : str
+        Availability zone.
+    is_evacuated : callable
+        Whether targets of a zone must get no opening packets now.
     """
 
     name: str
@@ -97,6 +101,8 @@
     random: Random
     runs: Counter
     may_serve: Callable[[str, tuple[int, int]], bool]
+    zone: str
+    is_evacuated: Callable[[str], bool]
     flows: dict[bytes, TargetFlow] = field(default_factory=dict)
     no_openings_after: float = float("inf")
     is_down: bool = False
@@ -173,6 +179,8 @@
             )
         if now > self.no_openings_after and not packet.acknowledgement:
             self.log.breach(Promise.DRAIN, now, f"{self.name} got a new flow")
+        if self.is_evacuated(self.zone):
+            self.log.breach(Promise.EVACUATION, now, f"{self.name} in {self.zone}")
         flow = self.flows.get(key)
         if flow is None:
             number = self.random.getrandbits(31)
--- a/bench/standins/flow_platform.py
+++ b/bench/standins/flow_platform.py
@@ -21,6 +21,7 @@
 __all__ = [
     "LoopbackStore",
     "LoopbackTarget",
+    "StoreBackup",
     "call_once",
     "configuration_document",
     "settings_document",
@@ -29,10 +30,21 @@
 
 READ_BYTES = 65_535
 STEP_S = 0.05
+PAGE_ITEMS = 500
 ANSWER = b"answer"
 COPY_WAITS_S = (0.2, 0.4, 0.8)
 
 
+@dataclass(frozen=True, slots=True)
+class StoreBackup:
+    """Contents of a store at one time."""
+
+    revision: int
+    compacted: int
+    items: dict[str, tuple[int, bytes]]
+    events: list[dict[str, Any]]
+
+
 class LoopbackStore:
     """The store: items with revisions, ranges and watches.
 
@@ -46,6 +58,8 @@
         self.items: dict[str, tuple[int, bytes]] = {}
         self.events: list[dict[str, Any]] = []
         self.revision = 1
+        # How often it was restored; None for a store that does not say.
+        self.era: int | None = 0
         self.calls = 0
         self.is_down = False
         # Whether each connection is closed after a response, without a word before.
@@ -59,10 +73,12 @@
             protocol_version = "HTTP/1.1"
 
             def do_GET(self) -> None:
-                status, document = store.answer(self.path)
+                status, document, era = store.answer(self.path)
                 body = dumps(document).encode()
                 self.send_response(status)
                 self.send_header("Content-Length", str(len(body)))
+                if era is not None:
+                    self.send_header("Store-Era", str(era))
                 self.end_headers()
                 self.wfile.write(body)
                 self.close_connection = store.closes_connections
@@ -104,12 +120,34 @@
             self.events.clear()
             self.changed.notify_all()
 
+    def backup(self) -> StoreBackup:
+        """Return a backup."""
+        with self.changed:
+            return StoreBackup(
+                self.revision, self.compacted, dict(self.items), list(self.events)
+            )
+
+    def restore(self, backup: StoreBackup) -> None:
+        """Go back to a backup; the revisions after it are given out again."""
+        with self.changed:
+            self.revision, self.compacted = backup.revision, backup.compacted
+            self.items, self.events = dict(backup.items), list(backup.events)
+            if self.era is not None:
+                self.era += 1
+            self.changed.notify_all()
+
     def _item(self, key: str) -> dict[str, Any]:
         revision, value = self.items[key]
         return {"key": key, "value": b64encode(value).decode(), "rev": revision}
 
-    def answer(self, path: str) -> tuple[int, object]:
-        """Answer a call."""
+    def answer(self, path: str) -> tuple[int, object, int | None]:
+        """Return status, document and era of the response to a call."""
+        # The lock is released while a watch waits.
+        with self.changed:
+            status, document = self._answer(path)
+            return status, document, self.era
+
+    def _answer(self, path: str) -> tuple[int, object]:
         self.calls += 1
         url = urlparse(path)
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
@@ -120,26 +158,26 @@
             status = 200 if item else 404
             return status, (item or {}) | {"storeRevision": self.revision}
         if url.path == "/-/kv-range":
-            items = [self._item(k) for k in self.items if k.startswith(query["prefix"])]
+            prefix, after = query["prefix"], query.get("after", "")
+            keys = sorted(k for k in self.items if k.startswith(prefix) and k > after)
             return 200, {
-                "items": items,
-                "morePages": False,
+                "items": [self._item(key) for key in keys[:PAGE_ITEMS]],
+                "morePages": len(keys) > PAGE_ITEMS,
                 "storeRevision": self.revision,
             }
         return self._watch(int(query["after"]), int(query["waitMs"]) / 1000)
 
     def _watch(self, after: int, wait_s: float) -> tuple[int, dict[str, Any]]:
         until = monotonic() + wait_s
-        with self.changed:
-            while True:
-                if self.is_down:
-                    return 503, {}
-                if after < self.compacted:
-                    return 410, {}
-                events = [event for event in self.events if event["rev"] > after]
-                if events or monotonic() >= until:
-                    return 200, {"events": events, "storeRevision": self.revision}
-                self.changed.wait(STEP_S)
+        while True:
+            if self.is_down:
+                return 503, {}
+            if not self.compacted <= after <= self.revision:
+                return 410, {}
+            events = [event for event in self.events if event["rev"] > after]
+            if events or monotonic() >= until:
+                return 200, {"events": events, "storeRevision": self.revision}
+            self.changed.wait(STEP_S)
 
     def close(self) -> None:
         """Stop serving."""
@@ -286,7 +324,14 @@
 
 
 def settings_document(
-    host: str, *, ports: Mapping[str, int], store: str, seeds: list[str], service: str
+    host: str,
+    *,
+    ports: Mapping[str, int],
+    store: str,
+    seeds: list[str],
+    service: str,
+    zone: str = "z",
+    evacuate_ms: int | None = None,
 ) -> dict[str, Any]:
     """Return settings in the platform's form; with a service those of an agent."""
     listen = {
@@ -297,13 +342,15 @@
         "nodeId": f"node-{host}",
         "servedRoles": ["side"] if service else ["front", "control"],
         "ipAddr": host,
-        "zone": "z",
+        "zone": zone,
         "bindAddrs": listen,
         "internalPorts": [ports["inner"], ports["inner"] + 3],
         "seedAddrs": [f"{seed}:1" for seed in seeds],
         "bounds": {"drainTimeoutMs": 3000, "gracePeriodS": 6, "flowTtlS": 60},
         "platform": {"address": store, "readsPerS": 2000, "historyS": 20},
     }
+    if evacuate_ms is not None:
+        document["bounds"]["evacuateMs"] = evacuate_ms
     if service:
         listen["outbound"] = f"{host}:{ports['from_target']}"
         document |= {"app": f"{host}:{ports['to_target']}", "service": service}
@@ -317,13 +364,14 @@
     *,
     state: str = "ready",
     born_ms: int = 0,
+    zone: str = "z",
 ) -> dict[str, Any]:
     """Return a target's record in the platform's form."""
     return {
         "born": born_ms,
         "service": service,
         "address": f"{host}:{ports['to_target']}",
-        "zone": "z",
+        "zone": zone,
         "version": "v1",
         "capacity": 4,
         "state": state,
--- a/tests/test_flow_node.py
+++ b/tests/test_flow_node.py
@@ -355,6 +355,18 @@
             assert monotonic() < until, f"no {name} within {START_TIMEOUT_S} s"
             sleep(0.05)
 
+    def wait_for_line(self, *texts):
+        """Wait until each process has logged a line that has some texts."""
+        until = monotonic() + START_TIMEOUT_S
+        for host in self.processes:
+            log = self.folder / f"{host}.log"
+            while not any(
+                all(text in line for text in texts)
+                for line in log.read_text().splitlines()
+            ):
+                assert monotonic() < until, f"no {texts} of {host}"
+                sleep(0.05)
+
     def stop(self, host):
         """Stop a process with SIGTERM and return its exit code."""
         process = self.processes.pop(host)
@@ -400,6 +412,39 @@
     assert fleet.stop("127.0.1.1") == 0
 
 
+@pytest.mark.processes
+def test_daemons_follow_a_restored_store(fleet):
+    """Versions under revisions that were given out again reach all processes.
+
+    Ordered by revision alone, the restored store was behind all views.
+    """
+    backup = fleet.store.backup()
+    fleet.store.put("op/evacuate/elsewhere", {})
+    for version in (2, 3, 4):
+        document = configuration_document({ADDRESS: SERVICE}, version)
+        fleet.store.put("op/config", document)
+    fleet.wait_for_line('"version":4', '"evacuated":"elsewhere"')
+    fleet.store.restore(backup)
+    fleet.wait_for_line('"name":"store-restored"', '"era":1', '"version":4')
+    document = configuration_document({ADDRESS: SERVICE}, 5)
+    fleet.store.put("op/config", document)
+    fleet.wait_for_line('"name":"view-changed"', '"version":5', '"era":1')
+    # The evacuation was not written again, so that it ends with the grace time.
+    fleet.wait_for_line('"version":5', '"evacuated":""')
+    assert fleet.call() == b"answer"
+
+
+@pytest.mark.processes
+@pytest.mark.parametrize("fleet", [{"era": None}], indirect=True)
+def test_store_without_an_era_is_logged_once(fleet):
+    """Daemons serve with a store that does not state its era, and say so once."""
+    fleet.wait_for_event("store-era-unknown")
+    fleet.store.put("op/config", configuration_document({ADDRESS: SERVICE}, 2))
+    fleet.wait_for_line('"name":"view-changed"', '"version":2')
+    for log in fleet.folder.glob("*.log"):
+        assert log.read_text().count('"name":"store-era-unknown"') <= 1
+
+
 def get_when_listening(url):
     """Return the response of an HTTP server that starts after the imports.
 
