Tell the flows of one client port apart at the balancer

A balancer's cache had no sequence number, so it took the SYN of a new flow from a reused port for a retransmission: it went to the old target under the old configuration, on dropped and moved routes too. The cache now holds the client's ISN. A SYN with another one is routed and placed again. If a search found the flow, its agent gets the SYN as that of a new flow, as long as its target may take it.

Also a SYN that an agent hands back no longer replaces a newer flow of its port, and the confirmation of a SYN no longer ends the search for an earlier flow, which sent that flow's packets to the new agent.

--- a/src/balsamtide/flows/flow_balancer.py
+++ b/src/balsamtide/flows/flow_balancer.py
@@ -1,6 +1,6 @@
 """Sans-I/O packet processing of the balancer."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from math import inf
 
@@ -146,17 +146,34 @@
     def _handle_syn(self, packet: FlowPacket, now: float) -> list[Action]:
         key = packet.client_key
         known = self.flows.get(key, now, self.idle_timeout_s)
-        if known is not None and self._is_agent_responsive(known, now):
+        if known is not None and not self._is_agent_responsive(known, now):
+            known = None
+        if known is not None and known.client_isn == packet.sequence:
             # The agent confirms retransmissions too, so that its failure is detected.
             self.pending_flows.setdefault(
                 key, self._pending_flow(packet, known.host, (), now, now)
             )
             return [self._send_carry(packet, known, must_take=True)]
+        # The client uses the port of an earlier flow again.
+        self.pending_flows.pop(key, None)
         route = self.view.route(packet.destination)
         if route is None:
             return self._refuse(packet, now, "no-route")
+        if known is not None and known.client_isn is None:
+            service = route.service_for(key)
+            target = self._target_at(known.host, service, now)
+            if target is not None:
+                # Its agent knows whether this is a retransmission.
+                return self._send_syn(packet, service, target, [target], (), now, now)
         return self._place(packet, route, (), now, now)
 
+    def _target_at(self, host: int, service: str, now: float) -> FlowTarget | None:
+        """Return an instance's target if it takes new flows of a service."""
+        target = self.view.by_host.get(host)
+        if target is None or target.service != service:
+            return None
+        return target if self._available((target,), now, set()) else None
+
     def _is_agent_responsive(self, flow: CachedFlow, now: float) -> bool:
         """Whether the flow's agent is not suspected of being unresponsive."""
         return now >= self.suspects.get(flow.host, -inf)
@@ -175,8 +192,26 @@
         if not candidates:
             return self._defer_or_refuse(packet, now)
         target = self.placement.choose(key, candidates, now)
+        return self._send_syn(
+            packet, service, target, candidates, tried, started_at, now
+        )
+
+    def _send_syn(
+        self,
+        packet: FlowPacket,
+        service: str,
+        target: FlowTarget,
+        candidates: Sequence[FlowTarget],
+        tried: tuple[int, ...],
+        started_at: float,
+        now: float,
+    ) -> list[Action]:
+        """Send a SYN to the chosen one of some candidates."""
+        key = packet.client_key
         self.placement.record_placement(target, now)
-        flow = CachedFlow(target.host, service_tag(service), now)
+        flow = CachedFlow(
+            target.host, service_tag(service), now, client_isn=packet.sequence
+        )
         self.flows.put(key, flow)
         self.pending_flows[key] = self._pending_flow(
             packet, target.host, tried, started_at, now
@@ -267,7 +302,8 @@
         if pending is not None:
             self.confirmation.record(now - pending.sent_at)
         search = self.searches.get(frame.key)
-        if search is not None:
+        # What confirms a SYN says nothing about packets of an earlier flow.
+        if search is not None and pending is None:
             return self._finish_found(
                 frame.key, source, now, is_first_sent=search.was_sent_tentatively
             )
@@ -297,6 +333,8 @@
             return []
         key = packet.client_key
         flow = self.flows.get(key, now, self.idle_timeout_s)
+        if packet.is_opening and flow is not None and flow.is_newer_than(packet):
+            return []
         if flow is not None and flow.host == source:
             self.flows.drop(key)
         if packet.is_opening:
--- a/src/balsamtide/flows/flow_cache.py
+++ b/src/balsamtide/flows/flow_cache.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from balsamtide.flows.packet import FlowPacket
+
 __all__ = ["CachedFlow", "FlowCache"]
 
 # About 250 bytes a flow: 50 MB, a sixth of the smallest balancer's memory.
@@ -23,12 +25,20 @@
         since a new configuration changes it for flows that are idle already.
     is_confirmed : bool
         Whether the agent confirmed that it has the flow.
+    client_isn : int or None
+        Initial sequence number of the client, which tells apart the flows of one key;
+        None if a search found the flow, since only a SYN shows it.
     """
 
     host: int
     service_tag: int
     last_packet_at: float
     is_confirmed: bool = False
+    client_isn: int | None = None
+
+    def is_newer_than(self, packet: FlowPacket) -> bool:
+        """Whether a SYN that comes back belongs to an earlier flow of the same key."""
+        return self.client_isn not in (None, packet.sequence)
 
 
 class FlowCache:
--- a/src/balsamtide/flows/open_flows.py
+++ b/src/balsamtide/flows/open_flows.py
@@ -209,7 +209,10 @@
             now,
             is_confirmed=True,
         )
-        self.flows.put(key, flow)
+        known = self.flows.flows.get(key)
+        if known is None or known.client_isn is None:
+            # Otherwise a SYN has replaced the flow since the search began.
+            self.flows.put(key, flow)
         if search is None:
             return []
         self.sink.event(FLOW_FOUND, flow=format_key(key), outcome=format_ipv4(host))
