Check SYNs of reused ports and of unanswered handshakes at the agent

A restarted agent knows a flow only from later packets and took every SYN of its key for a retransmission, so that new flows from reused ports reached a draining target. Such a SYN now counts as a retransmission only if it is less than 1 MiB behind what the client sent on an open flow that neither end has closed. The agent also learns the client's sequence numbers from what the target acknowledges.

Found with the same cause, a key without a sequence number:

- A retransmission was delivered although the target had left before it answered the first SYN.
It is checked like a new flow now.
- A SYN with another ISN was swallowed by the queued SYN of the same port, and followed a forwarded one with must_take.
- A SYN that was forwarded or refused removed the record of the port's open flow, so that the agent denied that flow.
- A repeated SYN-ACK made a restarted agent believe that the target had sent nothing else, so that it disowned an open flow's packets.

--- a/src/balsamtide/flows/agent_state.py
+++ b/src/balsamtide/flows/agent_state.py
@@ -39,6 +39,7 @@
     """Agent that a new flow was forwarded to; valid until ``expires_at``."""
 
     host: int
+    client_isn: int
     expires_at: float
 
 
--- a/src/balsamtide/flows/flow_agent.py
+++ b/src/balsamtide/flows/flow_agent.py
@@ -25,6 +25,7 @@
     NewFlowProcessor,
 )
 from balsamtide.flows.packet import (
+    SEQUENCE_MODULUS,
     FlowPacket,
     FlowPacketError,
 )
@@ -189,8 +190,9 @@
         key = packet.target_key
         flow = self._known_flow(key, now)
         if flow is None:
-            # The flow was opened before this process started.
-            flow = self._new_flow(key, 0, now, is_open=True)
+            # The flow was opened before this process started, or its SYN was forwarded
+            # because the target was silent.
+            flow = self._new_flow(key, 0, now, is_open=not packet.is_syn)
         elif not flow.is_sent_by_target(packet):
             self._count_late()
             return []
@@ -200,6 +202,8 @@
             flow.is_open = True
         self.flows.touch(flow, now)
         flow.record_sent(packet.sequence, packet.length)
+        if packet.is_ack and not packet.is_syn:
+            flow.record_acknowledged(packet.acknowledgement)
         flow.has_target_fin = flow.has_target_fin or packet.is_fin
         if packet.is_syn:
             self._handle_syn_ack(flow, packet, now)
@@ -213,9 +217,19 @@
         return []
 
     def _handle_syn_ack(self, flow: LocalFlow, packet: FlowPacket, now: float) -> None:
+        self._end_handshake(flow, now)
+        if flow.is_open and flow.target_isn is None:
+            # A repeated SYN-ACK of a flow that is older than this process.  How much
+            # the target has sent since is unknown.
+            return
         if flow.target_isn != packet.sequence:
             flow.target_isn = packet.sequence
             flow.target_end = 0
+        if flow.client_isn is None:
+            # A SYN-ACK acknowledges the SYN, which consumes one sequence number.
+            flow.client_isn = (packet.acknowledgement - 1) % SEQUENCE_MODULUS
+
+    def _end_handshake(self, flow: LocalFlow, now: float) -> None:
         if self.pending_handshakes.pop(flow.key, None) is not None:
             self.sink.observe(HANDSHAKE_SECONDS, now - flow.delivered_at)
 
--- a/src/balsamtide/flows/local_flows.py
+++ b/src/balsamtide/flows/local_flows.py
@@ -19,6 +19,9 @@
 CONTROL_SEQUENCE_NUMBERS = 2
 # Bytes that an end may send before they are acknowledged: 16 full packets.
 SEND_WINDOW_BYTES = 16 * 1200
+# A retransmitted SYN of an open flow is behind what its client has sent since by less
+# than this.  An unrelated SYN is so close once in 4,096 times.
+MAX_SENT_SINCE_SYN_BYTES = 1 << 20
 # Weight of one request in the moving average of the service time.
 SERVICE_TIME_GAIN = 0.1
 
@@ -41,13 +44,14 @@
     kept_until : float
         Local time before which it is kept while it is open, however long it is idle.
     client_isn : int or None
-        Initial sequence number of the client, None if the SYN was not seen.
+        Initial sequence number of the client, None if the handshake was not seen.
     target_isn : int or None
         Initial sequence number of the target, None if the SYN-ACK was not seen.
     target_end : int
         Largest offset from ``target_isn`` up to which the target has sent.
     next_sequence : int or None
-        Next sequence number expected from the client, None before the first data.
+        Next sequence number expected from the client, None before the first data; if
+        the handshake was not seen, also what the target acknowledges.
     is_open : bool
         Whether the client completed the handshake.
     has_client_fin, has_target_fin : bool
@@ -88,6 +92,11 @@
         """Whether both ends have closed it."""
         return self.has_client_fin and self.has_target_fin
 
+    @property
+    def is_in_use(self) -> bool:
+        """Whether it is open and neither end has closed it."""
+        return self.is_open and not self.has_client_fin and not self.has_target_fin
+
     def is_expired(self, now: float, idle_timeout_s: float) -> bool:
         """Whether the target may have removed this flow as well.
 
@@ -100,7 +109,12 @@
 
     def is_syn_retransmission(self, sequence: int) -> bool:
         """Whether a SYN with this sequence number retransmits this flow's SYN."""
-        return self.client_isn in (None, sequence)
+        if self.client_isn is not None:
+            return sequence == self.client_isn
+        if self.next_sequence is None or not self.is_in_use:
+            return False
+        behind = sequence_distance(self.next_sequence, sequence)
+        return 0 < behind < MAX_SENT_SINCE_SYN_BYTES
 
     def acknowledges_target(self, acknowledgement: int) -> bool:
         """Whether an acknowledgement is within what this target has sent.
@@ -142,6 +156,11 @@
         self.next_sequence = end
         return True
 
+    def record_acknowledged(self, acknowledgement: int) -> None:
+        """Record what the target expects, if the client has not shown it yet."""
+        if self.client_isn is None and self.next_sequence is None:
+            self.next_sequence = acknowledgement
+
     def record_sent(self, sequence: int, length: int) -> None:
         """Record data of the target."""
         if self.target_isn is not None:
--- a/src/balsamtide/flows/new_flows.py
+++ b/src/balsamtide/flows/new_flows.py
@@ -61,16 +61,24 @@
         flow = self._known_flow(key, now)
         if flow is not None and flow.is_syn_retransmission(packet.sequence):
             return self._handle_retransmission(packet, carry, flow, now)
+        queued = self.queue.get(key)
+        if queued is not None and queued.packet.sequence != packet.sequence:
+            # The client uses the port of the queued flow again.
+            self.queue.drop(key)
+            queued = None
         if carry.service != self.service_tag:
             return self._disown(packet, carry, DisownReason.OTHER_SERVICE, now)
-        queued = self.queue.get(key)
         if queued is not None:
             # A retransmission of a queued SYN.  It is confirmed as well, so that the
             # balancer tries no other agent.
             return [SendFrame(carry.origin, Taken(key, self.load(now)))]
         was_sent_back = carry.must_take and self.host in carry.visited
         forwarded = None if was_sent_back else self.forwarded.get(key)
-        if forwarded is not None and now < forwarded.expires_at:
+        if (
+            forwarded is not None
+            and now < forwarded.expires_at
+            and forwarded.client_isn == packet.sequence
+        ):
             return [SendFrame(forwarded.host, replace(carry, must_take=True))]
         rerouted = self._reroute_stale_service(packet, carry, now)
         if rerouted is not None:
@@ -87,9 +95,13 @@
     ) -> list[Action]:
         """Handle a retransmitted SYN of a flow in the table."""
         taken = SendFrame(carry.origin, Taken(packet.client_key, self.load(now)))
-        if flow.is_open and flow.client_isn is not None:
+        unavailable = self._unavailable_reason(now)
+        if flow.is_open and (flow.client_isn is not None or unavailable):
             # The client has the SYN-ACK; the retransmission was delayed.
             return [taken]
+        if flow.target_isn is None and unavailable:
+            # The flow would only be opened by this SYN.
+            return self._forward_to_peer(packet, carry, unavailable, now)
         flow.last_balancer = carry.origin
         return [self._send_to_target(packet.raw), taken]
 
@@ -285,9 +297,10 @@
         self, packet: FlowPacket, carry: Carry, host: int, reason: str, now: float
     ) -> list[Action]:
         key = packet.client_key
-        self.flows.drop(key)
-        self.pending_handshakes.pop(key, None)
-        self.forwarded[key] = ForwardedFlow(host, now + FORWARDED_VALID_S)
+        self._drop_replaced(packet)
+        self.forwarded[key] = ForwardedFlow(
+            host, packet.sequence, now + FORWARDED_VALID_S
+        )
         self.report(
             FLOW_PASSED_ON,
             key,
@@ -302,13 +315,25 @@
             visited = (*visited, self.host)
         return [SendFrame(host, replace(carry, visited=visited))]
 
+    def _drop_replaced(self, packet: FlowPacket) -> None:
+        """Remove the flow of a SYN that is not delivered, and a closed earlier one.
+
+        An open flow with another sequence number stays: the SYN may be a late one of an
+        earlier flow from the same port, and an agent that has forgotten an open flow
+        denies it, so that it is reset.
+        """
+        key = packet.client_key
+        flow = self.flows.flows.get(key)
+        if flow is None or flow.client_isn == packet.sequence or not flow.is_in_use:
+            self.flows.drop(key)
+        self.pending_handshakes.pop(key, None)
+
     def _refuse(
         self, packet: FlowPacket, carry: Carry, now: float, reason: str
     ) -> list[Action]:
         """Reset a flow that was never opened, or drop its SYN if the view is old."""
         key = packet.client_key
-        self.flows.drop(key)
-        self.pending_handshakes.pop(key, None)
+        self._drop_replaced(packet)
         if not self.gossip.is_fresh(now):
             self.report_dropped(key, now, f"{reason}, view outdated")
             return []
--- a/tests/test_flow_identity.py
+++ b/tests/test_flow_identity.py
@@ -5,11 +5,14 @@
 import pytest
 
 from balsamtide.fleet.view import TargetState
-from balsamtide.protocol.flow_actions import ToClient
+from balsamtide.flows.packet import SEQUENCE_MODULUS
+from balsamtide.platform.packets import ACK, FIN, SYN
+from balsamtide.protocol.flow_actions import ToClient, ToTarget
 from balsamtide.protocol.flow_frames import (
     Carry,
     Disowned,
     DisownReason,
+    Locate,
     Located,
     Ownership,
     Taken,
@@ -17,17 +20,21 @@
 )
 from tests.fakes_packets import (
     ADDRESS,
+    BALANCER,
     HOSTS,
     NOW,
     PACKETS,
     TARGETS,
+    carry_frame,
     client_packet,
     frames,
+    make_agent,
     make_balancer,
     make_route,
     make_view,
     of_kind,
     syn_packet,
+    target_packet,
 )
 
 KEY = PACKETS.decode(syn_packet()).client_key
@@ -155,3 +162,208 @@
     (carry,) = frames(balancer.receive_frame(located, earlier, NOW), Carry)
     assert (carry.host, carry.frame.packet) == (earlier, DATA)
     assert balancer.flows.flows[KEY].host == action.host
+
+
+# Agents
+
+TARGET_ISN = 9000
+DRAINING = make_view(*with_state(TargetState.DRAINING, HOSTS[0]))
+STATES = {
+    "draining": DRAINING,
+    "gone": make_view(*TARGETS[1:]),
+    "lapsed": make_view(replace(TARGETS[0], forget_at=NOW), *TARGETS[1:]),
+}
+
+
+def handle(agent, packet, now=NOW, **options):
+    """Let an agent handle a client's packet."""
+    return agent.receive_frame(carry_frame(packet, **options), BALANCER, now)
+
+
+def request(sequence=ISN + 1, data=20, flags=ACK):
+    """Return a client's packet of the flow that `open_flow` opens."""
+    return client_packet(
+        flags, sequence=sequence, acknowledgement=TARGET_ISN + 1, data=data
+    )
+
+
+def open_flow(agent, port=40001):
+    """Open a flow and send a request on it."""
+    handle(agent, syn_packet(port))
+    syn_ack = target_packet(SYN | ACK, port=port, sequence=TARGET_ISN)
+    agent.receive_from_target(syn_ack, NOW)
+    packet = client_packet(
+        port=port, sequence=ISN + 1, acknowledgement=TARGET_ISN + 1, data=20
+    )
+    handle(agent, packet)
+
+
+def know_flow_by_client(agent):
+    """Show a restarted agent a request of an open flow and its answer."""
+    handle(agent, request())
+    agent.receive_from_target(target_packet(sequence=TARGET_ISN + 1, data=9), NOW)
+
+
+def know_flow_by_target(agent):
+    """Show a restarted agent a packet of the target only."""
+    agent.receive_from_target(target_packet(sequence=TARGET_ISN + 1, data=9), NOW)
+
+
+def know_closed_flow(agent):
+    """Show a restarted agent the last request of a flow, closed by both ends."""
+    handle(agent, request())
+    agent.receive_from_target(
+        target_packet(ACK | FIN, sequence=TARGET_ISN + 1, data=9), NOW
+    )
+    handle(agent, request(ISN + 21, data=0, flags=ACK | FIN))
+
+
+@pytest.mark.parametrize(
+    ("know", "sequence"),
+    [
+        (know_flow_by_client, NEXT_ISN),
+        (know_flow_by_client, (ISN - (1 << 20)) % SEQUENCE_MODULUS),
+        (know_flow_by_target, NEXT_ISN),
+        (know_closed_flow, NEXT_ISN),
+        (know_closed_flow, ISN),
+    ],
+    ids=["ahead", "far-behind", "target-ahead", "closed-ahead", "closed-behind"],
+)
+@pytest.mark.parametrize("view", STATES.values(), ids=STATES)
+def test_restarted_agent_opens_no_flow_at_an_unavailable_target(know, sequence, view):
+    """A restarted agent must not take a reused port's SYN for a retransmission."""
+    agent = make_agent(flow_lifetime_s=60.0)
+    know(agent)
+    agent.gossip.view = view
+    actions = handle(agent, syn_packet(sequence=sequence), NOW + 1, must_take=True)
+    assert not of_kind(actions, ToTarget)
+    (forwarded,) = frames(actions, Carry)
+    assert forwarded.host in HOSTS[1:]
+
+
+@pytest.mark.parametrize("know", [know_flow_by_client, know_flow_by_target])
+@pytest.mark.parametrize(
+    ("view", "delivered"), [(make_view(), 1), (DRAINING, 0)], ids=["ready", "draining"]
+)
+def test_restarted_agent_recognizes_a_late_syn_of_an_open_flow(know, view, delivered):
+    """A late SYN must not move an open flow whose SYN the agent has not seen."""
+    agent = make_agent(flow_lifetime_s=60.0)
+    know(agent)
+    agent.gossip.view = view
+    actions = handle(agent, syn_packet(retransmissions=1), NOW + 0.1)
+    assert len(of_kind(actions, ToTarget)) == delivered
+    assert len(frames(actions, Taken)) == 1
+    assert not frames(actions, Carry)
+    (packet,) = of_kind(handle(agent, request(ISN + 21), NOW + 0.2), ToTarget)
+    assert packet == ToTarget(request(ISN + 21))
+
+
+def test_repeated_syn_ack_of_an_older_flow_denies_no_packet():
+    """A repeated SYN-ACK must not make a restarted agent disown an open flow."""
+    agent = make_agent(flow_lifetime_s=60.0)
+    know_flow_by_client(agent)
+    handle(agent, syn_packet(retransmissions=1), NOW + 0.1)
+    agent.receive_from_target(target_packet(SYN | ACK, sequence=TARGET_ISN), NOW + 0.1)
+    packet = client_packet(
+        sequence=ISN + 21, acknowledgement=TARGET_ISN + 9_000, data=20
+    )
+    assert of_kind(handle(agent, packet, NOW + 0.2), ToTarget) == [ToTarget(packet)]
+    locate = Locate(KEY, TARGET_ISN + 9_000)
+    (located,) = frames(agent.receive_frame(locate, BALANCER, NOW + 0.2), Located)
+    assert located.frame.ownership is Ownership.OWNS
+
+
+def test_agent_learns_the_handshake_from_the_syn_ack():
+    """An agent that saw only the SYN-ACK must not take the flow for an open one."""
+    agent = make_agent(flow_lifetime_s=60.0)
+    agent.receive_from_target(target_packet(SYN | ACK, sequence=TARGET_ISN), NOW)
+    # The SYN-ACK was lost, so that the target has to send it again.
+    actions = handle(agent, syn_packet(retransmissions=1), NOW + 0.2)
+    assert of_kind(actions, ToTarget) == [ToTarget(syn_packet(retransmissions=1))]
+    agent.gossip.view = DRAINING
+    actions = handle(agent, syn_packet(sequence=NEXT_ISN), NOW + 0.3)
+    assert not of_kind(actions, ToTarget)
+
+
+def make_full_agent():
+    """Return an agent of the only target, which has no free slot."""
+    agent = make_agent(make_view(TARGETS[0]))
+    agent.flows.service_time_s = 0.2
+    for port in (1, 2):
+        open_flow(agent, port)
+    return agent
+
+
+def test_syn_of_a_reused_port_replaces_a_queued_one():
+    """A queued SYN that its client gave up must neither be delivered nor hide one."""
+    agent = make_full_agent()
+    handle(agent, syn_packet())
+    syn = syn_packet(sequence=NEXT_ISN)
+    assert not of_kind(handle(agent, syn, NOW + 0.1), ToTarget)
+    assert len(agent.queue) == 1
+    delivered = []
+    for port in (1, 2):
+        answer = target_packet(port=port, sequence=TARGET_ISN + 1, data=5)
+        delivered += of_kind(agent.receive_from_target(answer, NOW + 0.2), ToTarget)
+    assert delivered == [ToTarget(syn)]
+
+
+def test_queued_syn_is_removed_if_its_port_now_leads_to_another_service():
+    """A queued SYN must not stay when the new flow of its port goes elsewhere."""
+    agent = make_full_agent()
+    handle(agent, syn_packet())
+    syn = syn_packet(sequence=NEXT_ISN)
+    handle(agent, syn, NOW + 0.1, service=service_tag("proofs"))
+    assert not agent.queue
+
+
+def test_syn_of_a_reused_port_does_not_follow_a_forwarded_one():
+    """A new flow must not be told to be taken where its port's last flow went."""
+    agent = make_agent(DRAINING)
+    handle(agent, syn_packet())
+    agent.gossip.view = make_view()
+    (again,) = handle(agent, syn_packet(retransmissions=1), NOW + 0.2)
+    assert again.frame.must_take
+    actions = handle(agent, syn_packet(sequence=NEXT_ISN), NOW + 0.3)
+    assert len(of_kind(actions, ToTarget)) == 1
+
+
+@pytest.mark.parametrize("view", STATES.values(), ids=STATES)
+def test_unanswered_syn_is_not_sent_again_to_an_unavailable_target(view):
+    """A retransmission must not open a flow at a target that has left since."""
+    agent = make_agent()
+    handle(agent, syn_packet())
+    agent.gossip.view = view
+    syn = syn_packet(retransmissions=1)
+    actions = handle(agent, syn, NOW + 0.05, must_take=True)
+    assert not of_kind(actions, ToTarget)
+    (forwarded,) = frames(actions, Carry)
+    assert forwarded.host in HOSTS[1:]
+    assert not forwarded.frame.must_take
+
+
+def test_answered_syn_is_sent_again_to_a_draining_target():
+    """A flow stays where its handshake began, although the SYN-ACK was lost."""
+    agent = make_agent()
+    handle(agent, syn_packet())
+    agent.receive_from_target(target_packet(SYN | ACK, sequence=TARGET_ISN), NOW)
+    agent.gossip.view = DRAINING
+    actions = handle(agent, syn_packet(retransmissions=1), NOW + 0.2, must_take=True)
+    assert len(of_kind(actions, ToTarget)) == 1
+
+
+@pytest.mark.parametrize(
+    "view",
+    [DRAINING, make_view(*with_state(TargetState.DRAINING, *HOSTS))],
+    ids=["forwarded", "refused"],
+)
+def test_late_syn_of_an_earlier_flow_leaves_the_open_flow_known(view):
+    """The agent must not deny an open flow after a late SYN of its port."""
+    agent = make_agent()
+    open_flow(agent)
+    agent.gossip.view = view
+    assert not of_kind(handle(agent, syn_packet(sequence=NEXT_ISN)), ToTarget)
+    locate = Locate(KEY, TARGET_ISN + 1)
+    (located,) = frames(agent.receive_frame(locate, BALANCER, NOW), Located)
+    assert located.frame.ownership is Ownership.OWNS
+    assert len(of_kind(handle(agent, request(ISN + 21)), ToTarget)) == 1
