Take no missing answer of a search for an answer

A search that some agents did not answer counted as complete. The one target that neither answered nor returned the packet was taken for the owner and cached as confirmed, so that an unresponsive target got all packets of a flow that is elsewhere, for seconds. Late answers were discarded.

- Only a search that everyone answered ends with a guess or a reset; an unanswered query and an unresolved delivery of an earlier stage both count as open, until the late answer comes.
- What is left after all others denied the flow is a guess.
Without a confirmation, it is dropped after 300 ms and the next packet searches.
- A late OWNS or Taken counts during a delivery, after the search and instead of a guess; an agent that can't tell and says so during the delivery gets the packet too.
A late return is kept as a denial.
- An agent that was asked in this search and did not answer yet is the only one whose NO or MAYBE counts.

--- a/src/balsamtide/flows/events.py
+++ b/src/balsamtide/flows/events.py
@@ -108,8 +108,10 @@
     meaning="Result of a search for an open flow.",
     fields=FLOW_FIELDS
     | {
-        "outcome": "instance that has the flow; uncertain: its packet is sent to all "
-        "agents that can't tell; unknown: not found",
+        "outcome": "instance that has the flow; guess with an instance: all other "
+        "agents denied the flow, and this one is used for 300 ms unless it confirms "
+        "the flow; uncertain: its packet is sent to all agents that can't tell; "
+        "unknown: not found, or not everyone answered",
     },
 )
 FLOW_DISOWNED = Event(
--- a/src/balsamtide/flows/flow_balancer.py
+++ b/src/balsamtide/flows/flow_balancer.py
@@ -304,15 +304,14 @@
         search = self.searches.get(frame.key)
         # What confirms a SYN says nothing about packets of an earlier flow.
         if search is not None and pending is None:
-            return self._finish_found(
-                frame.key, source, now, is_first_sent=search.was_sent_tentatively
-            )
+            return self._finish_found(frame.key, source, now)
         flow = self.flows.get(frame.key, now, self.idle_timeout_s)
         if flow is None:
-            return []
+            # A target's late answer to a search, unless it confirms a SYN.
+            return [] if pending else self._finish_found(frame.key, source, now)
         if pending is not None or not flow.is_confirmed:
             flow.host = source
-        flow.is_confirmed = True
+        flow.confirm()
         return []
 
     def _handle_refused(self, frame: Refused, source: int) -> list[Action]:
@@ -341,10 +340,12 @@
             return self._place_disowned_syn(packet, source, now)
         search = self.searches.get(key)
         if frame.reason is DisownReason.RETURNED:
-            if search is None or not search.was_sent_tentatively:
+            if search is None:
                 return []
             search.record_return(source)
-            return [] if search.tentative_hosts else self._continue_search(key, now)
+            if not search.was_sent_tentatively or search.tentative_hosts:
+                return []
+            return self._continue_search(key, now)
         if search is not None:
             search.add_packet(packet.raw)
             return []
--- a/src/balsamtide/flows/flow_cache.py
+++ b/src/balsamtide/flows/flow_cache.py
@@ -1,6 +1,7 @@
 """Bounded LRU cache of a balancer's flows."""
 
 from dataclasses import dataclass
+from math import inf
 
 from balsamtide.flows.packet import FlowPacket
 
@@ -28,6 +29,9 @@
     client_isn : int or None
         Initial sequence number of the client, which tells apart the flows of one key;
         None if a search found the flow, since only a SYN shows it.
+    valid_until : float
+        Local time until which the host is used without a confirmation; infinite unless
+        it is a guess.
     """
 
     host: int
@@ -35,6 +39,12 @@
     last_packet_at: float
     is_confirmed: bool = False
     client_isn: int | None = None
+    valid_until: float = inf
+
+    def confirm(self) -> None:
+        """Record that the agent has the flow."""
+        self.is_confirmed = True
+        self.valid_until = inf
 
     def is_newer_than(self, packet: FlowPacket) -> bool:
         """Whether a SYN that comes back belongs to an earlier flow of the same key."""
@@ -58,10 +68,12 @@
         return len(self.flows)
 
     def get(self, key: bytes, now: float, idle_timeout_s: float) -> CachedFlow | None:
-        """Return a flow and restart its idle timeout."""
+        """Return a flow and restart its idle timeout; remove an outdated guess."""
         flow = self.flows.pop(key, None)
         if flow is None or flow.last_packet_at + idle_timeout_s <= now:
             return None
+        if flow.valid_until <= now:
+            return None
         flow.last_packet_at = now
         self.flows[key] = flow
         return flow
--- a/src/balsamtide/flows/open_flows.py
+++ b/src/balsamtide/flows/open_flows.py
@@ -8,7 +8,12 @@
 from balsamtide.flows.metrics import PACKETS
 from balsamtide.flows.packet import FlowPacket, PacketCodec, format_key
 from balsamtide.flows.processor import FlowProcessor
-from balsamtide.flows.search import FlowSearch, SearchStage, SearchTable
+from balsamtide.flows.search import (
+    GUESS_VALID_S,
+    FlowSearch,
+    SearchStage,
+    SearchTable,
+)
 from balsamtide.protocol.flow_actions import Action, SendFrame, ToClient
 from balsamtide.protocol.flow_frames import (
     Carry,
@@ -121,26 +126,24 @@
         if search.was_sent_tentatively:
             return self._end_tentative_delivery(key, now)
         packet = self.packets.decode(search.packets[0])
-        search.is_incomplete = search.is_incomplete or bool(search.unanswered)
         if not search.uncertain:
             return self._continue_search(key, now)
-        is_certain = not search.is_incomplete and self._is_everyone_asked(search)
-        if len(search.uncertain) == 1 and is_certain:
+        if len(search.uncertain) == 1 and self._has_everyone_answered(search):
             # All other agents answered that they do not have the flow.
-            return self._finish_found(key, search.uncertain[0], now)
+            return self._finish_guessed(key, search.uncertain[0], now)
         self.sink.event(FLOW_FOUND, flow=format_key(key), outcome="uncertain")
-        # The entries only name host and service; they are not cached.
         return [
-            self._send_carry(
-                packet,
-                CachedFlow(host, self._service_tag(host), now),
-                is_tentative=True,
-            )
+            self._send_tentatively(packet, host, now)
             for host in search.start_tentative_delivery(now)
         ]
 
-    def _is_everyone_asked(self, search: FlowSearch) -> bool:
-        return search.asked.issuperset(self.view.by_host)
+    def _send_tentatively(self, packet: FlowPacket, host: int, now: float) -> Action:
+        # The entry only names host and service; it is not cached.
+        flow = CachedFlow(host, self._service_tag(host), now)
+        return self._send_carry(packet, flow, is_tentative=True)
+
+    def _has_everyone_answered(self, search: FlowSearch) -> bool:
+        return search.is_complete and search.asked.issuperset(self.view.by_host)
 
     def _continue_search(self, key: bytes, now: float) -> list[Action]:
         """Ask the agents of the next stage, or end the search without a result."""
@@ -162,11 +165,9 @@
     def _end_tentative_delivery(self, key: bytes, now: float) -> list[Action]:
         """End a delivery whose packet some targets neither answered nor returned."""
         search = self.searches.searches[key]
-        if len(search.tentative_hosts) == 1 and self._is_everyone_asked(search):
-            # All other targets returned the packet.
-            return self._finish_found(
-                key, next(iter(search.tentative_hosts)), now, is_first_sent=True
-            )
+        if len(search.tentative_hosts) == 1 and self._has_everyone_answered(search):
+            # All other agents denied the flow, or their targets returned the packet.
+            return self._finish_guessed(key, next(iter(search.tentative_hosts)), now)
         search.is_incomplete = True
         return self._continue_search(key, now)
 
@@ -179,7 +180,7 @@
         self.sink.event(FLOW_FOUND, flow=format_key(key), outcome="unknown")
         # Right after an outage of the store, not every target is listed.
         is_settled = self.gossip.is_settled(now) and self.gossip.is_fresh(now)
-        is_denied = bool(search.asked) and not search.is_incomplete
+        is_denied = bool(search.asked) and search.is_complete
         if not is_settled or not is_denied or not packet.length:
             self.report_dropped(key, now, "flow not found")
             return []
@@ -192,30 +193,47 @@
 
     def _handle_located(self, frame: Located, source: int, now: float) -> list[Action]:
         search = self.searches.get(frame.key)
-        if search is None or search.was_sent_tentatively:
-            return []
         if frame.ownership is Ownership.OWNS:
+            known = self.flows.flows.get(frame.key)
+            if search is None and known is not None and known.is_confirmed:
+                return []
             return self._finish_found(frame.key, source, now)
+        if search is None or source not in search.unanswered:
+            # Late, or answers an earlier search.
+            return []
         search.record_answer(source, frame.ownership)
-        return [] if search.unanswered else self._end_round(frame.key, now)
-
-    def _finish_found(
-        self, key: bytes, host: int, now: float, *, is_first_sent: bool = False
+        if not search.was_sent_tentatively:
+            return [] if search.unanswered else self._end_round(frame.key, now)
+        if frame.ownership is Ownership.NO:
+            return []
+        search.tentative_hosts.add(source)
+        packet = self.packets.decode(search.packets[0])
+        return [self._send_tentatively(packet, source, now)]
+
+    def _finish_found(self, key: bytes, host: int, now: float) -> list[Action]:
+        """End a search, or replace its result, since an agent has the flow."""
+        flow = CachedFlow(host, self._service_tag(host), now)
+        flow.confirm()
+        return self._finish_search(key, flow, format_ipv4(host))
+
+    def _finish_guessed(self, key: bytes, host: int, now: float) -> list[Action]:
+        """End a search after everyone but one agent denied the flow."""
+        flow = CachedFlow(host, self._service_tag(host), now)
+        flow.valid_until = now + GUESS_VALID_S
+        return self._finish_search(key, flow, f"guess {format_ipv4(host)}")
+
+    def _finish_search(
+        self, key: bytes, flow: CachedFlow, outcome: str
     ) -> list[Action]:
-        search = self.searches.end(key)
-        flow = CachedFlow(
-            host,
-            self._service_tag(host),
-            now,
-            is_confirmed=True,
-        )
         known = self.flows.flows.get(key)
         if known is None or known.client_isn is None:
             # Otherwise a SYN has replaced the flow since the search began.
             self.flows.put(key, flow)
+        self.sink.event(FLOW_FOUND, flow=format_key(key), outcome=outcome)
+        search = self.searches.end(key)
         if search is None:
             return []
-        self.sink.event(FLOW_FOUND, flow=format_key(key), outcome=format_ipv4(host))
+        is_first_sent = search.was_sent_to(flow.host)
         unsent = search.packets[1:] if is_first_sent else search.packets
         packets = [self.packets.decode(raw) for raw in unsent]
         return [self._send_carry(packet, flow) for packet in packets]
--- a/src/balsamtide/flows/search.py
+++ b/src/balsamtide/flows/search.py
@@ -14,6 +14,10 @@
 SEARCH_ROUND_S = 0.02
 # A target that does not have a flow returns its packet at once.
 RETURN_TIMEOUT_S = 0.1
+# How long a guess is used until a frame confirms it: longer than a client's first
+# retransmission after 0.2 s, and far less than the 2 s for which an open flow's packets
+# may go to a wrong target.
+GUESS_VALID_S = 0.3
 # Packets held for one search; a client has no more in flight.
 MAX_HELD_PACKETS = 16
 # Bounds the memory for packets of unknown flows.
@@ -60,7 +64,7 @@
     asked : set of int
         Hosts that were asked.
     unanswered : set of int
-        Hosts that have not answered yet.
+        Hosts that have not answered yet, in this round or an earlier one.
     uncertain : list of int
         Hosts whose agent can't tell because it started a short time ago.
     stage : SearchStage
@@ -70,7 +74,8 @@
     was_sent_tentatively : bool
         Whether the first packet was sent to the uncertain hosts, which may return it.
     is_incomplete : bool
-        Whether an agent or its target did not answer, so that the flow may still exist.
+        Whether an agent was not asked, or a target did not answer, so that the flow may
+        still exist.
     denied : set of int
         Hosts that do not have the flow: the agent said so, or the target returned the
         packet.
@@ -91,6 +96,15 @@
     denied: set[int] = field(default_factory=set)
     denials_valid_until: float = inf
 
+    @property
+    def is_complete(self) -> bool:
+        """Whether everyone who was asked has answered; a late answer counts."""
+        return not self.is_incomplete and not self.unanswered
+
+    def was_sent_to(self, host: int) -> bool:
+        """Whether a host got the first packet in the current delivery."""
+        return self.was_sent_tentatively and host in self.uncertain
+
     def add_packet(self, packet: bytes) -> None:
         """Hold one more packet, or drop it beyond `MAX_HELD_PACKETS`."""
         if len(self.packets) < MAX_HELD_PACKETS:
--- a/tests/test_flow_identity.py
+++ b/tests/test_flow_identity.py
@@ -150,6 +150,16 @@
     assert balancer.pending_flows[KEY].packet.sequence == NEXT_ISN
 
 
+def test_confirmed_syn_of_a_forgotten_flow_does_not_end_a_search():
+    """Held packets that the confirming agent disowned must not go there again."""
+    balancer = make_balancer()
+    (action,) = frames(balancer.receive_packet(syn_packet(), NOW), Carry)
+    disowned = Disowned(DisownReason.OTHER_HANDSHAKE, DATA)
+    assert frames(balancer.receive_frame(disowned, action.host, NOW), Locate)
+    assert balancer.receive_frame(Taken(KEY, 1.0), action.host, NOW) == []
+    assert KEY in balancer.searches.searches
+
+
 def test_confirmed_syn_does_not_end_the_search_for_an_earlier_flow():
     """Packets of the earlier flow must not go to the agent of the port's new flow."""
     balancer = make_balancer()
