Save calls per new flow in the checks of sequence numbers

The processor time for a new flow must not grow. The candidate for a flow that a search found is passed to the placement instead of splitting it, and two functions of the agent are inlined.

--- a/src/balsamtide/flows/flow_agent.py
+++ b/src/balsamtide/flows/flow_agent.py
@@ -202,8 +202,10 @@
             flow.is_open = True
         self.flows.touch(flow, now)
         flow.record_sent(packet.sequence, packet.length)
-        if packet.is_ack and not packet.is_syn:
-            flow.record_acknowledged(packet.acknowledgement)
+        is_position_unknown = flow.client_isn is None and flow.next_sequence is None
+        if is_position_unknown and packet.is_ack and not packet.is_syn:
+            # The target expects this next; the client has not shown it yet.
+            flow.next_sequence = packet.acknowledgement
         flow.has_target_fin = flow.has_target_fin or packet.is_fin
         if packet.is_syn:
             self._handle_syn_ack(flow, packet, now)
@@ -217,7 +219,8 @@
         return []
 
     def _handle_syn_ack(self, flow: LocalFlow, packet: FlowPacket, now: float) -> None:
-        self._end_handshake(flow, now)
+        if self.pending_handshakes.pop(flow.key, None) is not None:
+            self.sink.observe(HANDSHAKE_SECONDS, now - flow.delivered_at)
         if flow.is_open and flow.target_isn is None:
             # A repeated SYN-ACK of a flow that is older than this process.  How much
             # the target has sent since is unknown.
@@ -229,10 +232,6 @@
             # A SYN-ACK acknowledges the SYN, which consumes one sequence number.
             flow.client_isn = (packet.acknowledgement - 1) % SEQUENCE_MODULUS
 
-    def _end_handshake(self, flow: LocalFlow, now: float) -> None:
-        if self.pending_handshakes.pop(flow.key, None) is not None:
-            self.sink.observe(HANDSHAKE_SECONDS, now - flow.delivered_at)
-
     def _finish_request(self, flow: LocalFlow, now: float) -> None:
         took_s = self.flows.end_request(flow, now, assumed_s=self._service_time_s())
         if took_s is None:
--- a/src/balsamtide/flows/flow_balancer.py
+++ b/src/balsamtide/flows/flow_balancer.py
@@ -1,6 +1,6 @@
 """Sans-I/O packet processing of the balancer."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable
 from dataclasses import dataclass
 from math import inf
 
@@ -160,11 +160,9 @@
         if route is None:
             return self._refuse(packet, now, "no-route")
         if known is not None and known.client_isn is None:
-            service = route.service_for(key)
-            target = self._target_at(known.host, service, now)
-            if target is not None:
-                # Its agent knows whether this is a retransmission.
-                return self._send_syn(packet, service, target, [target], (), now, now)
+            # Its agent knows whether this is a retransmission.
+            target = self._target_at(known.host, route.service_for(key), now)
+            return self._place(packet, route, (), now, now, preferred=target)
         return self._place(packet, route, (), now, now)
 
     def _target_at(self, host: int, service: str, now: float) -> FlowTarget | None:
@@ -185,29 +183,17 @@
         tried: tuple[int, ...],
         started_at: float,
         now: float,
+        *,
+        preferred: FlowTarget | None = None,
     ) -> list[Action]:
         key = packet.client_key
         service = route.service_for(key)
-        candidates = self._candidates(service, key, tried, now)
+        candidates = (
+            [preferred] if preferred else self._candidates(service, key, tried, now)
+        )
         if not candidates:
             return self._defer_or_refuse(packet, now)
         target = self.placement.choose(key, candidates, now)
-        return self._send_syn(
-            packet, service, target, candidates, tried, started_at, now
-        )
-
-    def _send_syn(
-        self,
-        packet: FlowPacket,
-        service: str,
-        target: FlowTarget,
-        candidates: Sequence[FlowTarget],
-        tried: tuple[int, ...],
-        started_at: float,
-        now: float,
-    ) -> list[Action]:
-        """Send a SYN to the chosen one of some candidates."""
-        key = packet.client_key
         self.placement.record_placement(target, now)
         flow = CachedFlow(
             target.host, service_tag(service), now, client_isn=packet.sequence
--- a/src/balsamtide/flows/local_flows.py
+++ b/src/balsamtide/flows/local_flows.py
@@ -156,11 +156,6 @@
         self.next_sequence = end
         return True
 
-    def record_acknowledged(self, acknowledgement: int) -> None:
-        """Record what the target expects, if the client has not shown it yet."""
-        if self.client_isn is None and self.next_sequence is None:
-            self.next_sequence = acknowledgement
-
     def record_sent(self, sequence: int, length: int) -> None:
         """Record data of the target."""
         if self.target_isn is not None:
