--- a/src/balsamtide/flows/flow_balancer.py
+++ b/src/balsamtide/flows/flow_balancer.py
@@ -146,17 +146,32 @@
     def _handle_syn(self, packet: FlowPacket, now: float) -> list[Action]:
         key = packet.client_key
         known = self.flows.get(key, now, self.idle_timeout_s)
-        if known is not None and self._is_agent_responsive(known, now):
+        if known is not None and not self._is_agent_responsive(known, now):
+            known = None
+        if known is not None and known.client_isn == packet.sequence:
             # The agent confirms retransmissions too, so that its failure is detected.
             self.pending_flows.setdefault(
                 key, self._pending_flow(packet, known.host, (), now, now)
             )
             return [self._send_carry(packet, known, must_take=True)]
+        # The client uses the port of an earlier flow again.
+        self.pending_flows.pop(key, None)
         route = self.view.route(packet.destination)
         if route is None:
             return self._refuse(packet, now, "no-route")
+        if known is not None and known.client_isn is None:
+            # Its agent knows whether this is a retransmission.
+            target = self._target_at(known.host, route.service_for(key), now)
+            return self._place(packet, route, (), now, now, preferred=target)
         return self._place(packet, route, (), now, now)
 
+    def _target_at(self, host: int, service: str, now: float) -> FlowTarget | None:
+        """Return an instance's target if it takes new flows of a service."""
+        target = self.view.by_host.get(host)
+        if target is None or target.service != service:
+            return None
+        return target if self._available((target,), now, set()) else None
+
     def _is_agent_responsive(self, flow: CachedFlow, now: float) -> bool:
         """Whether the flow's agent is not suspected of being unresponsive."""
         return now >= self.suspects.get(flow.host, -inf)
@@ -168,15 +183,21 @@
         tried: tuple[int, ...],
         started_at: float,
         now: float,
+        *,
+        preferred: FlowTarget | None = None,
     ) -> list[Action]:
         key = packet.client_key
         service = route.service_for(key)
-        candidates = self._candidates(service, key, tried, now)
+        candidates = (
+            [preferred] if preferred else self._candidates(service, key, tried, now)
+        )
         if not candidates:
             return self._defer_or_refuse(packet, now)
         target = self.placement.choose(key, candidates, now)
         self.placement.record_placement(target, now)
-        flow = CachedFlow(target.host, service_tag(service), now)
+        flow = CachedFlow(
+            target.host, service_tag(service), now, client_isn=packet.sequence
+        )
         self.flows.put(key, flow)
         self.pending_flows[key] = self._pending_flow(
             packet, target.host, tried, started_at, now
@@ -267,16 +288,16 @@
         if pending is not None:
             self.confirmation.record(now - pending.sent_at)
         search = self.searches.get(frame.key)
-        if search is not None:
-            return self._finish_found(
-                frame.key, source, now, is_first_sent=search.was_sent_tentatively
-            )
+        # What confirms a SYN says nothing about packets of an earlier flow.
+        if search is not None and pending is None:
+            return self._finish_found(frame.key, source, now)
         flow = self.flows.get(frame.key, now, self.idle_timeout_s)
         if flow is None:
-            return []
+            # A target's late answer to a search, unless it confirms a SYN.
+            return [] if pending else self._finish_found(frame.key, source, now)
         if pending is not None or not flow.is_confirmed:
             flow.host = source
-        flow.is_confirmed = True
+        flow.confirm()
         return []
 
     def _handle_refused(self, frame: Refused, source: int) -> list[Action]:
@@ -297,16 +318,20 @@
             return []
         key = packet.client_key
         flow = self.flows.get(key, now, self.idle_timeout_s)
+        if packet.is_opening and flow is not None and flow.is_newer_than(packet):
+            return []
         if flow is not None and flow.host == source:
             self.flows.drop(key)
         if packet.is_opening:
             return self._place_disowned_syn(packet, source, now)
         search = self.searches.get(key)
         if frame.reason is DisownReason.RETURNED:
-            if search is None or not search.was_sent_tentatively:
+            if search is None:
                 return []
             search.record_return(source)
-            return [] if search.tentative_hosts else self._continue_search(key, now)
+            if not search.was_sent_tentatively or search.tentative_hosts:
+                return []
+            return self._continue_search(key, now)
         if search is not None:
             search.add_packet(packet.raw)
             return []
