Send no new flows to the targets of evacuated zones

Once the share is 0, the agent keeps every SYN from its target: new, retransmitted, forwarded, told to take, queued and returned ones. Where the settings have a bound, an agent delivers no SYN before its first view, nor right after a suspension by a view that may be outdated.

--- a/src/balsamtide/flow_node/daemon.py
+++ b/src/balsamtide/flow_node/daemon.py
@@ -113,6 +113,7 @@
 
     def _make_balancer(self, gossip: ViewGossip) -> FlowRuntime:
         from balsamtide.flow_node.balancer_runtime import BalancerRuntime
+        from balsamtide.flows.evacuation import ZoneEvacuation
         from balsamtide.flows.flow_balancer import FlowBalancer
         from balsamtide.flows.placement import LeastLoadedPlacement
 
@@ -123,6 +124,9 @@
             gossip=gossip,
             placement=LeastLoadedPlacement(zone=settings.zone, random=self.random),
             sink=sink,
+            evacuation=ZoneEvacuation(
+                timeout_s=settings.evacuation_timeout_s, zone=settings.zone
+            ),
         )
         return BalancerRuntime(
             processor=balancer,
@@ -134,6 +138,7 @@
 
     def _make_agent(self, gossip: ViewGossip, service: str) -> FlowRuntime:
         from balsamtide.flow_node.agent_runtime import AgentRuntime
+        from balsamtide.flows.evacuation import ZoneEvacuation
         from balsamtide.flows.flow_agent import FlowAgent
         from balsamtide.flows.flow_queue import ObjectiveOrder
         from balsamtide.flows.rebalancing import MoveShareOfNewTargets
@@ -151,6 +156,9 @@
             sink=sink,
             flow_lifetime_s=settings.flow_lifetime_s,
             now=boot_time(),
+            evacuation=ZoneEvacuation(
+                timeout_s=settings.evacuation_timeout_s, zone=settings.zone
+            ),
         )
         return AgentRuntime(
             processor=agent,
--- a/src/balsamtide/flows/agent_state.py
+++ b/src/balsamtide/flows/agent_state.py
@@ -6,6 +6,7 @@
 
 from balsamtide.fleet.view import FlowTarget
 from balsamtide.fleet.view_gossip import ViewGossip
+from balsamtide.flows.evacuation import ZoneEvacuation
 from balsamtide.flows.flow_queue import FlowQueue, QueueOrder
 from balsamtide.flows.local_flows import LocalFlow, LocalFlows
 from balsamtide.flows.metrics import PACKETS
@@ -29,6 +30,11 @@
 MAX_OVERCOMMIT = 1
 # Initial mean service time, as a fraction of the latency objective.
 INITIAL_SERVICE_TIME_RATIO = 0.2
+# Timers run several times within this time, unless the process was suspended.
+SUSPENSION_S = 1.0
+# Time after a suspension in which digests of peers bring a new view; they are sent
+# every 0.25 s.  It is limited because the store may be unavailable.
+CATCH_UP_S = 0.5
 # Flows with shorter requests are not queued: a slot is idle during the handshake of a
 # queued flow, and its 5 ms would exceed a quarter of the service time.
 MIN_QUEUED_SERVICE_TIME_S = 0.02
@@ -80,6 +86,8 @@
         Longest lifetime of a flow, in seconds.
     now : float
         Local time of the start, in seconds.
+    evacuation : ZoneEvacuation or None
+        As for `FlowProcessor`.
     """
 
     def __init__(
@@ -95,8 +103,15 @@
         sink: Sink,
         flow_lifetime_s: float,
         now: float,
+        evacuation: ZoneEvacuation | None = None,
     ) -> None:
-        super().__init__(host=host, packets=packets, gossip=gossip, sink=sink)
+        super().__init__(
+            host=host,
+            packets=packets,
+            gossip=gossip,
+            sink=sink,
+            evacuation=evacuation,
+        )
         self.spillover = spillover
         self.rebalancing = rebalancing
         # Agents whose targets were available at the last change of the view, None
@@ -114,6 +129,9 @@
         self.unresponsive_since = inf
         self.next_probe_at = -inf
         self.last_packet_at = -inf
+        self.last_tick_at = now
+        # Local time until which only a fresh view proves that the zone takes flows.
+        self.caught_up_at = -inf
         self.is_stopping = False
         self.next_return_at = -inf
         self.next_sweep_at = now
@@ -135,6 +153,9 @@
         """Return why the target gets no new flows, or an empty string."""
         if self.is_stopping:
             return "stopping"
+        withheld = self._withheld_reason(now)
+        if withheld:
+            return withheld
         target = self.own_target()
         if target is None:
             return "gone" if self.gossip.is_fresh(now) else ""
@@ -146,6 +167,32 @@
             return "silent"
         return ""
 
+    def _withheld_reason(self, now: float) -> str:
+        """Return why the target gets no SYN at all, not even a retransmitted one."""
+        if self.has_closed_zones(now):
+            target = self.own_target()
+            zone = target.zone if target else self.evacuation.zone
+            if self.evacuation.share(zone, self.service, self.view, now) <= 0.0:
+                return "evacuated"
+        if self.evacuation.timeout_s is None:
+            return ""
+        self._detect_suspension(now)
+        is_behind = now < self.caught_up_at and not self.gossip.is_fresh(now)
+        return "suspended" if is_behind else ""
+
+    def _detect_suspension(self, now: float) -> None:
+        """Start to wait for a fresh view if the timers did not run for too long.
+
+        Packets that arrived meanwhile may be for a zone that is evacuated by now.
+        """
+        if now > self.last_tick_at + SUSPENSION_S:
+            self.last_tick_at = now
+            self.caught_up_at = now + CATCH_UP_S
+
+    def _lacks_view(self) -> bool:
+        """Whether the settings allow evacuations, and none can be known yet."""
+        return self.view.revision < 0 and self.evacuation.timeout_s is not None
+
     def _is_known_absent(self, key: bytes, now: float) -> bool:
         """Whether the target certainly does not have a flow missing from the table."""
         is_table_complete = now >= self.flows.complete_at
--- a/src/balsamtide/flows/events.py
+++ b/src/balsamtide/flows/events.py
@@ -19,6 +19,8 @@
     "FLOW_WAITS",
     "TARGET_SILENT",
     "TARGET_SPEAKS",
+    "ZONE_EVACUATED",
+    "ZONE_RETURNS",
 ]
 
 FLOW_FIELDS = {"flow": "client address and port, service address and port"}
@@ -73,7 +75,8 @@
         "reason": "busy; draining; silent; stopping: the agent stops; gone: the target "
         "is not listed; lapsed: it was missing from the list for too long; "
         "other-service: it serves another one; returned: it returned the SYN; stale: "
-        "routed by an older configuration",
+        "routed by an older configuration; evacuated: the target's zone is evacuated; "
+        "suspended: the agent was suspended and waits for a confirmed view",
     }
     | VIEW_FIELDS,
 )
@@ -83,8 +86,11 @@
     level=Level.WARNING,
     meaning="A new flow was reset; its request has not run.",
     action="no-route: check the configured routes; no-target: check the service's "
-    "targets; overload: check its load.",
-    fields=FLOW_FIELDS | {"reason": "no-route, no-target or overload"} | VIEW_FIELDS,
+    "targets; overload: check its load; evacuated: all targets of the service are in "
+    "evacuated zones, so end an evacuation or add targets in another zone.",
+    fields=FLOW_FIELDS
+    | {"reason": "no-route, no-target, evacuated or overload"}
+    | VIEW_FIELDS,
 )
 FLOW_DROPPED = Event(
     number=905,
@@ -199,3 +205,21 @@
     }
     | VIEW_FIELDS,
 )
+# Numbers 917 to 923 are left to decisions about single flows.
+ZONE_EVACUATED = Event(
+    number=924,
+    name="zone-evacuated",
+    level=Level.WARNING,
+    meaning="This process learned that an availability zone is evacuated; the share of "
+    "new flows that go there falls to 0.",
+    action="Nothing if an operator evacuated the zone.",
+    fields={"zone": "availability zone"} | VIEW_FIELDS,
+)
+ZONE_RETURNS = Event(
+    number=925,
+    name="zone-returns",
+    level=Level.INFO,
+    meaning="This process learned that the evacuation of a zone has ended; the share "
+    "of new flows that go there rises.",
+    fields={"zone": "availability zone"} | VIEW_FIELDS,
+)
--- a/src/balsamtide/flows/flow_agent.py
+++ b/src/balsamtide/flows/flow_agent.py
@@ -291,6 +291,8 @@
 
     def tick(self, now: float) -> list[Action]:
         """Run the timers that expired and return the actions to perform."""
+        self._detect_suspension(now)
+        self.last_tick_at = now
         actions = self.gossip.tick(now)
         for key in [
             key
@@ -303,6 +305,7 @@
             self.next_queue_check_at = now + QUEUE_CHECK_PERIOD_S if self.queue else inf
         if self.next_sweep_at <= now:
             self.next_sweep_at = now + SWEEP_PERIOD_S
+            self.update_zones(now)
             self.flows.expire(now, self.idle_timeout_s)
             self.forwarded = {
                 key: forwarded
--- a/src/balsamtide/flows/flow_balancer.py
+++ b/src/balsamtide/flows/flow_balancer.py
@@ -7,6 +7,7 @@
 from balsamtide.fleet.view import FlowRoute, FlowTarget
 from balsamtide.fleet.view_gossip import ViewGossip
 from balsamtide.flows.confirmation import ConfirmationTimer
+from balsamtide.flows.evacuation import ZoneEvacuation
 from balsamtide.flows.events import (
     AGENT_SILENT,
     FLOW_PLACED,
@@ -94,6 +95,8 @@
         Chooses the target of a new flow.
     sink : Sink
         Receives events and metrics.
+    evacuation : ZoneEvacuation or None
+        As for `FlowProcessor`.
     """
 
     def __init__(
@@ -104,8 +107,15 @@
         gossip: ViewGossip,
         placement: PlacementPolicy,
         sink: Sink,
+        evacuation: ZoneEvacuation | None = None,
     ) -> None:
-        super().__init__(host=host, packets=packets, gossip=gossip, sink=sink)
+        super().__init__(
+            host=host,
+            packets=packets,
+            gossip=gossip,
+            sink=sink,
+            evacuation=evacuation,
+        )
         self.placement = placement
         self.pending_flows: dict[bytes, PendingFlow] = {}
         self.confirmation = ConfirmationTimer()
@@ -136,6 +146,7 @@
 
     def process_deferred(self, now: float) -> list[Action]:
         """Process the deferred packets against the current view."""
+        self.update_zones(now)
         deferred, self.deferred = self.deferred, []
         actions: list[Action] = []
         for received_at, data in deferred:
@@ -173,7 +184,7 @@
         service = route.service_for(key)
         candidates = self._candidates(service, key, tried, now)
         if not candidates:
-            return self._defer_or_refuse(packet, now)
+            return self._defer_or_refuse(packet, service, now)
         target = self.placement.choose(key, candidates, now)
         self.placement.record_placement(target, now)
         flow = CachedFlow(target.host, service_tag(service), now)
@@ -217,7 +228,7 @@
         responsive = self._responsive(homes, now)
         if responsive:
             return responsive
-        targets = self.available_targets(service, now, without=excluded)
+        targets = self.available_targets(service, now, without=excluded, key=key)
         return self._responsive(targets, now) or targets
 
     def _responsive(
@@ -225,11 +236,13 @@
     ) -> list[FlowTarget]:
         return [t for t in targets if now >= self.suspects.get(t.host, now)]
 
-    def _defer_or_refuse(self, packet: FlowPacket, now: float) -> list[Action]:
+    def _defer_or_refuse(
+        self, packet: FlowPacket, service: str, now: float
+    ) -> list[Action]:
         """Defer a SYN while targets may come back, otherwise refuse it."""
         if now < self.view.settles_at:
             return self._defer(packet.raw, now)
-        return self._refuse(packet, now, "no-target")
+        return self._refuse(packet, now, self.no_target_reason(service, now))
 
     def _refuse(self, packet: FlowPacket, now: float, reason: str) -> list[Action]:
         """Reset a new flow, or drop its SYN if the view may be outdated."""
@@ -358,6 +371,7 @@
             actions += self._end_round(key, now)
         if self.next_sweep_at <= now:
             self.next_sweep_at = now + SWEEP_PERIOD_S
+            self.update_zones(now)
             self.flows.expire(now, self.idle_timeout_s)
             self.sink.gauge(FLOWS, len(self.flows))
         return actions
--- a/src/balsamtide/flows/metrics.py
+++ b/src/balsamtide/flows/metrics.py
@@ -8,8 +8,10 @@
     "FLOW_DECISIONS",
     "HOPS",
     "HANDSHAKE_SECONDS",
+    "OPENINGS_WITHHELD",
     "PACKETS",
     "PACKETS_REJECTED",
+    "ZONES_EVACUATED",
 ]
 
 PACKETS = Metric(
@@ -52,3 +54,15 @@
     kind=MetricKind.HISTOGRAM,
     meaning="Time from a complete request to the first byte of its answer.",
 )
+OPENINGS_WITHHELD = Metric(
+    name="flow_openings_withheld_total",
+    kind=MetricKind.COUNTER,
+    meaning="SYNs that an agent kept from its target because the target's zone is "
+    "evacuated, the target is cold, or the agent has no view or was suspended.",
+    labels=("reason",),
+)
+ZONES_EVACUATED = Metric(
+    name="zones_evacuated",
+    kind=MetricKind.GAUGE,
+    meaning="Evacuated availability zones known to this process.",
+)
--- a/src/balsamtide/flows/new_flows.py
+++ b/src/balsamtide/flows/new_flows.py
@@ -12,7 +12,7 @@
 )
 from balsamtide.flows.flow_queue import QueuedFlow
 from balsamtide.flows.local_flows import LocalFlow
-from balsamtide.flows.metrics import HOPS
+from balsamtide.flows.metrics import HOPS, OPENINGS_WITHHELD
 from balsamtide.flows.packet import FlowPacket
 from balsamtide.flows.spillover import (
     Accept,
@@ -51,16 +51,29 @@
 MAX_START_RATIO = 0.9
 # Check of the queue while no packets arrive.
 QUEUE_CHECK_PERIOD_S = 0.02
+# Reasons that are counted, since they keep all SYNs from an available target.
+WITHHELD_REASONS = ("evacuated", "suspended")
 
 
 class NewFlowProcessor(AgentState):
     """Delivers, queues, forwards or refuses new flows."""
 
     def _handle_syn(self, packet: FlowPacket, carry: Carry, now: float) -> list[Action]:
+        if self._lacks_view():
+            self.sink.count(OPENINGS_WITHHELD, reason="no-view")
+            return self._disown(packet, carry, DisownReason.NOT_HERE, now)
         key = packet.client_key
         flow = self._known_flow(key, now)
         if flow is not None and flow.is_syn_retransmission(packet.sequence):
-            return self._handle_retransmission(packet, carry, flow, now)
+            withheld = self._withheld_reason(now)
+            if not withheld:
+                return self._handle_retransmission(packet, carry, flow, now)
+            self.sink.count(OPENINGS_WITHHELD, reason=withheld)
+            if flow.is_open or flow.target_isn is not None:
+                # The target has the flow and may have sent the SYN-ACK.
+                return [SendFrame(carry.origin, Taken(key, self.load(now)))]
+            self.flows.drop(key)
+            self.pending_handshakes.pop(key, None)
         if carry.service != self.service_tag:
             return self._disown(packet, carry, DisownReason.OTHER_SERVICE, now)
         queued = self.queue.get(key)
@@ -77,6 +90,8 @@
             return rerouted
         unavailable = self._unavailable_reason(now)
         if unavailable:
+            if unavailable in WITHHELD_REASONS:
+                self.sink.count(OPENINGS_WITHHELD, reason=unavailable)
             return self._forward_to_peer(packet, carry, unavailable, now)
         if carry.must_take:
             return self._deliver_or_queue(packet, carry, "told to", now)
@@ -112,15 +127,16 @@
         )
         return self._forward_to_service(packet, newer, service, "stale", now)
 
-    def _peers(self, service: str, carry: Carry, now: float) -> list[int]:
+    def _peers(self, service: str, key: bytes, carry: Carry, now: float) -> list[int]:
         excluded = (*carry.visited, self.host)
-        return [t.host for t in self.available_targets(service, now, without=excluded)]
+        targets = self.available_targets(service, now, without=excluded, key=key)
+        return [t.host for t in targets]
 
     def _nearest_peers(self, key: bytes, carry: Carry, now: float) -> list[int]:
         """Return the flow's available home targets, or all peers if there are none."""
         excluded = (*carry.visited, self.host)
         homes = self.available_homes(self.service, key, now, without=excluded)
-        return [t.host for t in homes] or self._peers(self.service, carry, now)
+        return [t.host for t in homes] or self._peers(self.service, key, carry, now)
 
     def _spill_over(self, packet: FlowPacket, carry: Carry, now: float) -> list[Action]:
         route = self.view.route(packet.destination)
@@ -219,12 +235,18 @@
 
     def view_changed(self, now: float) -> list[Action]:
         """Move queued flows to targets that the change of the view added."""
-        hosts = frozenset(t.host for t in self.available_targets(self.service, now))
+        self.update_zones(now)
+        actions = self._admit_queued(now) if self._withheld_reason(now) else []
+        # A returning zone gets its share by the keys of flows and not at once.
+        hosts = frozenset(
+            t.host
+            for t in self.available_targets(self.service, now)
+            if self.evacuation.share(t.zone, t.service, self.view, now) >= 1.0
+        )
         before, self.seen_hosts = self.seen_hosts, hosts
         if before is None or not self.queue:
-            return []
+            return actions
         new_hosts = sorted(hosts - before - {self.host})
-        actions: list[Action] = []
         for host in self.rebalancing.destinations(
             len(self.queue), new_hosts, len(hosts)
         ):
@@ -271,8 +293,11 @@
         self, packet: FlowPacket, carry: Carry, service: str, reason: str, now: float
     ) -> list[Action]:
         """Forward a new flow to any available agent of a service."""
-        peers = self._peers(service, carry, now)
-        if not peers or len(carry.visited) >= MAX_VISITED:
+        peers = self._peers(service, packet.client_key, carry, now)
+        if not peers:
+            reason = self.no_target_reason(service, now)
+            return self._refuse(packet, carry, now, reason)
+        if len(carry.visited) >= MAX_VISITED:
             return self._refuse(packet, carry, now, "no-target")
         # The best host if it is available, otherwise a peer by the flow's key: this
         # spreads flows, and retransmissions get the same peer.
--- a/src/balsamtide/flows/open_flows.py
+++ b/src/balsamtide/flows/open_flows.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 
 from balsamtide.fleet.view_gossip import ViewGossip
+from balsamtide.flows.evacuation import ZoneEvacuation
 from balsamtide.flows.events import FLOW_FOUND, FLOW_LOST, FLOW_SEARCHED
 from balsamtide.flows.flow_cache import CachedFlow, FlowCache
 from balsamtide.flows.metrics import PACKETS
@@ -30,9 +31,21 @@
     """
 
     def __init__(
-        self, *, host: int, packets: PacketCodec, gossip: ViewGossip, sink: Sink
+        self,
+        *,
+        host: int,
+        packets: PacketCodec,
+        gossip: ViewGossip,
+        sink: Sink,
+        evacuation: ZoneEvacuation | None = None,
     ) -> None:
-        super().__init__(host=host, packets=packets, gossip=gossip, sink=sink)
+        super().__init__(
+            host=host,
+            packets=packets,
+            gossip=gossip,
+            sink=sink,
+            evacuation=evacuation,
+        )
         self.flows = FlowCache()
         self.searches = SearchTable()
 
--- a/src/balsamtide/flows/processor.py
+++ b/src/balsamtide/flows/processor.py
@@ -6,8 +6,15 @@
 
 from balsamtide.fleet.view import FleetView, FlowTarget
 from balsamtide.fleet.view_gossip import ViewGossip
-from balsamtide.flows.events import FLOW_DROPPED, FLOW_REFUSED, INSTANCE_LEAVING
-from balsamtide.flows.metrics import FLOW_DECISIONS
+from balsamtide.flows.evacuation import ZoneEvacuation
+from balsamtide.flows.events import (
+    FLOW_DROPPED,
+    FLOW_REFUSED,
+    INSTANCE_LEAVING,
+    ZONE_EVACUATED,
+    ZONE_RETURNS,
+)
+from balsamtide.flows.metrics import FLOW_DECISIONS, ZONES_EVACUATED
 from balsamtide.flows.packet import PacketCodec, format_key
 from balsamtide.protocol.flow_actions import Action, SendFrame
 from balsamtide.protocol.flow_frames import Digest, Frame, Leaving, MarkedLeaving
@@ -32,15 +39,25 @@
         Replica of routes and targets.
     sink : Sink
         Receives events and metrics.
+    evacuation : ZoneEvacuation or None
+        Share of new flows for evacuated zones; None if evacuations take full effect as
+        soon as they are known.
     """
 
     def __init__(
-        self, *, host: int, packets: PacketCodec, gossip: ViewGossip, sink: Sink
+        self,
+        *,
+        host: int,
+        packets: PacketCodec,
+        gossip: ViewGossip,
+        sink: Sink,
+        evacuation: ZoneEvacuation | None = None,
     ) -> None:
         self.host = host
         self.packets = packets
         self.gossip = gossip
         self.sink = sink
+        self.evacuation = evacuation or ZoneEvacuation()
         # Local time until which a host takes no new flows, by host.
         self.no_new_flows_until: dict[int, float] = {}
 
@@ -91,32 +108,83 @@
             actions.append(SendFrame(source, MarkedLeaving()))
         return actions
 
+    def update_zones(self, now: float) -> None:
+        """Record the evacuated zones of the view, and report changes."""
+        for change in self.evacuation.update(self.view, now):
+            event = ZONE_EVACUATED if change.is_evacuated else ZONE_RETURNS
+            age_s = self.gossip.age(now)
+            self.sink.event(
+                event,
+                zone=change.zone,
+                version=self.view.configuration.version,
+                revision=self.view.revision,
+                age_ms=round(age_s * 1000) if age_s < 1e6 else None,
+            )
+            self.sink.gauge(ZONES_EVACUATED, len(self.view.evacuated_zones))
+
+    def has_closed_zones(self, now: float) -> bool:
+        """Whether new flows of any zone's targets are limited by an evacuation."""
+        if self.view.evacuated_zones is not self.evacuation.zones:
+            self.update_zones(now)
+        return bool(self.evacuation.phases)
+
     def available_targets(
-        self, service: str, now: float, *, without: Iterable[int] = ()
+        self,
+        service: str,
+        now: float,
+        *,
+        without: Iterable[int] = (),
+        key: bytes | None = None,
     ) -> list[FlowTarget]:
         """Return the targets of a service that take new flows now.
 
-        Unlike `FleetView.eligible`, leave out instances that announced a stop.
+        Unlike `FleetView.eligible`, leave out instances that announced a stop, and
+        zones that are evacuated.  A zone that takes a share of the new flows is left
+        out for other flows than its share, unless there is no other target.
         """
-        targets = self.view.by_service.get(service, ())
-        return self._available(targets, now, set(without))
+        excluded = set(without)
+        targets = self._available(
+            self.view.by_service.get(service, ()), now, excluded, key
+        )
+        if targets or key is None or not self.evacuation.phases:
+            return targets
+        return self.available_targets(service, now, without=excluded)
 
     def available_homes(
         self, service: str, key: bytes, now: float, *, without: Iterable[int] = ()
     ) -> list[FlowTarget]:
         """Return the home targets of a flow that take new flows now."""
-        return self._available(self.view.homes(service, key), now, set(without))
+        return self._available(self.view.homes(service, key), now, set(without), key)
 
     def _available(
-        self, targets: Iterable[FlowTarget], now: float, excluded: set[int]
+        self,
+        targets: Iterable[FlowTarget],
+        now: float,
+        excluded: set[int],
+        key: bytes | None,
     ) -> list[FlowTarget]:
-        return [
+        available = [
             target
             for target in targets
             if target.host not in excluded
             and now >= self.no_new_flows_until.get(target.host, now)
             and self.view.is_eligible(target, now)
         ]
+        if not self.has_closed_zones(now):
+            return available
+        admits, view = self.evacuation.admits, self.view
+        return [target for target in available if admits(target, key, view, now)]
+
+    def no_target_reason(self, service: str, now: float) -> str:
+        """Return why no target of a service takes a new flow."""
+        if not self.has_closed_zones(now):
+            return "no-target"
+        eligible = self.view.eligible(service, now)
+        admits, view = self.evacuation.admits, self.view
+        is_evacuated = eligible and not any(
+            admits(target, None, view, now) for target in eligible
+        )
+        return "evacuated" if is_evacuated else "no-target"
 
     def announce_leaving(self, lasts_s: float, now: float) -> list[Action]:
         """Return frames that announce that this process takes no new flows.
--- a/tests/fakes_packets.py
+++ b/tests/fakes_packets.py
@@ -2,6 +2,7 @@
 
 from dataclasses import replace
 from random import Random
+from typing import Any
 
 from balsamtide.fleet.view import (
     FleetView,
@@ -86,7 +87,9 @@
     return gossip
 
 
-def make_balancer(view: FleetView | None = None, *, age_s: float = 0.0) -> FlowBalancer:
+def make_balancer(
+    view: FleetView | None = None, *, age_s: float = 0.0, **options: Any
+) -> FlowBalancer:
     """Return a balancer."""
     return FlowBalancer(
         host=BALANCER,
@@ -94,6 +97,7 @@
         gossip=make_gossip(BALANCER, view or make_view(), age_s=age_s),
         placement=LeastLoadedPlacement(zone="z", random=Random(1)),
         sink=MemorySink(),
+        **options,
     )
 
 
@@ -103,19 +107,22 @@
     host: int = HOSTS[0],
     age_s: float = 0.0,
     flow_lifetime_s: float = 0.0,
+    now: float = NOW,
+    **options: Any,
 ) -> FlowAgent:
     """Return an agent; with a lifetime of 0 its flow table is complete."""
     return FlowAgent(
         host=host,
         service="orders",
         packets=PACKETS,
-        gossip=make_gossip(host, view or make_view(), age_s=age_s),
+        gossip=make_gossip(host, view or make_view(), age_s=age_s, now=now),
         spillover=LoadSpillover(random=Random(1)),
         rebalancing=MoveShareOfNewTargets(random=Random(1)),
         order=ObjectiveOrder(),
         sink=MemorySink(),
         flow_lifetime_s=flow_lifetime_s,
-        now=NOW,
+        now=now,
+        **options,
     )
 
 
