Limit the opening packets that a cold target gets

The agent counts all opening packets of its target and admits the allowed number in any second while the target is cold, may have restarted, or is not listed. Further ones are treated as at a busy target: the load that is reported stands for the wait.

--- a/bench/standins/flow_world.py
+++ b/bench/standins/flow_world.py
@@ -4,8 +4,9 @@
 and the targets are simulated.  Everything follows from a seed.
 """
 
+from bisect import bisect
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from heapq import heappop, heappush
 from itertools import count
 from random import Random
@@ -17,8 +18,10 @@
     FlowRoute,
     FlowTarget,
     TargetState,
+    WarmUp,
 )
 from balsamtide.fleet.view_gossip import ViewGossip
+from balsamtide.flows.evacuation import ZoneEvacuation
 from balsamtide.flows.flow_agent import FlowAgent
 from balsamtide.flows.flow_balancer import FlowBalancer
 from balsamtide.flows.flow_queue import ObjectiveOrder, QueueOrder
@@ -26,6 +29,7 @@
 from balsamtide.flows.placement import LeastLoadedPlacement, PlacementPolicy
 from balsamtide.flows.rebalancing import MoveShareOfNewTargets, QueueRebalancing
 from balsamtide.flows.spillover import LoadSpillover, SpilloverPolicy
+from balsamtide.flows.warm_up import WarmUpLimiter
 from balsamtide.platform.packets import (
     ACK,
     FIN,
@@ -89,6 +93,14 @@
         Share of opening packets of which a copy arrives late, at any balancer.
     seed : int
         Of everything random.
+    zones : int
+        Availability zones ``z0``, ``z1``, ... of the targets.  Balancers are in none
+        of them, so that they prefer none.
+    warm_up : WarmUp or None
+        Cold start of the targets.  A cold target that got more openings than its rate
+        within the last second takes as many times as long for a request.
+    evacuation_timeout_s : float or None
+        Bound for evacuations.
     """
 
     balancers: int = 4
@@ -103,6 +115,9 @@
     loss: float = 0.0
     late_copies: float = 0.0
     seed: int = 1
+    zones: int = 1
+    warm_up: WarmUp | None = None
+    evacuation_timeout_s: float | None = None
 
 
 @dataclass(slots=True)
@@ -162,6 +177,13 @@
     started: set[tuple[int, int]] = field(default_factory=set)
     parts: dict[tuple[int, int], set[int]] = field(default_factory=dict)
     openings: int = 0
+    opened_at: list[float] = field(default_factory=list)
+    warm_at: float = 0.0
+
+    def max_openings(self, begin: float, end: float) -> int:
+        """Return the most openings within a second that begins in a time."""
+        times = [time for time in self.opened_at if begin <= time < end]
+        return max((bisect(times, t + 1) - n for n, t in enumerate(times)), default=0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -188,6 +210,8 @@
         Order of waiting openings.
     rebalancing : callable or None
         Makes the policy of an agent for targets that are added.
+    limiter : callable or None
+        Makes the limit of an agent for its cold target from the time of its start.
     """
 
     def __init__(
@@ -198,6 +222,7 @@
         spillover: Callable[[Random], SpilloverPolicy] | None = None,
         order: QueueOrder | None = None,
         rebalancing: Callable[[Random], QueueRebalancing] | None = None,
+        limiter: Callable[[float], WarmUpLimiter] | None = None,
     ) -> None:
         self.options = options
         self.random = Random(options.seed)
@@ -223,6 +248,7 @@
         self.make_rebalancing = rebalancing or (
             lambda random: MoveShareOfNewTargets(random=random)
         )
+        self.make_limiter = limiter or (lambda now: None)
         self.balancers = {
             FIRST_BALANCER + n: self._make_balancer(FIRST_BALANCER + n, make_placement)
             for n in range(options.balancers)
@@ -248,7 +274,7 @@
                 service=SERVICE,
                 host=host,
                 port=80,
-                zone="z",
+                zone=f"z{host % options.zones}",
                 capacity=options.capacity,
                 state=TargetState.READY,
             )
@@ -259,6 +285,7 @@
             routes={SERVICE_ADDRESS: route},
             services=frozenset({SERVICE}),
             idle_timeout_s=15.0,
+            warm_ups={SERVICE: options.warm_up} if options.warm_up else {},
         )
         return FleetView(revision=1, configuration=configuration, targets=targets)
 
@@ -279,6 +306,7 @@
             gossip=self._make_gossip(host),
             placement=placement(self.random),
             sink=self.sink,
+            evacuation=self._make_evacuation(),
         )
 
     def make_agent(self, host: int) -> FlowAgent:
@@ -294,8 +322,13 @@
             sink=self.sink,
             flow_lifetime_s=60.0,
             now=self.now,
+            evacuation=self._make_evacuation(),
+            limiter=self.make_limiter(self.now),
         )
 
+    def _make_evacuation(self) -> ZoneEvacuation:
+        return ZoneEvacuation(timeout_s=self.options.evacuation_timeout_s)
+
     def restart_balancer(self, host: int) -> None:
         """Replace a balancer by one that knows no flows."""
         policy = self.balancers[host].placement
@@ -310,6 +343,29 @@
             if host not in self.down:
                 self._act(host, agent.view_changed(self.now))
 
+    def evacuate(self, *zones: str) -> None:
+        """Evacuate these zones and no others."""
+        view = self.view.changed(
+            revision=self.view.revision + 1, evacuated_zones=frozenset(zones)
+        )
+        self.publish(view)
+
+    def start_cold(self, *hosts: int) -> None:
+        """Restart targets, with no flows and cold."""
+        changes: dict[str, FlowTarget | None] = {}
+        for target in self.view.targets.values():
+            if target.host in hosts and self.options.warm_up is not None:
+                warm_at = self.now + self.options.warm_up.lasts_s
+                self.targets[target.host].warm_at = warm_at
+                self.targets[target.host].flows.clear()
+                started_ms = round(self.now * 1000)
+                changes[target.name] = replace(
+                    target, warm_at=warm_at, started_ms=started_ms
+                )
+        self.publish(
+            self.view.changed(revision=self.view.revision + 1, targets=changes)
+        )
+
     # Time
 
     def at(self, time: float, call: Callable[[], None]) -> None:
@@ -491,6 +547,7 @@
         client = packet.source
         if packet.is_opening:
             target.openings += 1
+            target.opened_at.append(self.now)
             sequence = target.flows.setdefault(client, self.random.getrandbits(31))
             self._target_sends(target, packet, SYN | ACK, sequence, 0)
         elif target.flows.get(client, -1) + 1 != packet.acknowledgement:
@@ -520,9 +577,16 @@
         target.started.add(packet.source)
         target.running += 1
         request.runs += 1
-        work_s = request.work_s * target.slowness
+        work_s = request.work_s * target.slowness * self._coldness(target)
         self.after(work_s, lambda: self._answer(target, packet))
 
+    def _coldness(self, target: Target) -> float:
+        warm_up = self.options.warm_up
+        if warm_up is None or self.now >= target.warm_at:
+            return 1.0
+        recent = len(target.opened_at) - bisect(target.opened_at, self.now - 1)
+        return max(1.0, recent / warm_up.rate)
+
     def _answer(self, target: Target, packet: FlowPacket) -> None:
         target.running -= 1
         if target.is_silent:
--- a/src/balsamtide/flow_node/agent_runtime.py
+++ b/src/balsamtide/flow_node/agent_runtime.py
@@ -85,7 +85,7 @@
 
     def has_work(self, now: float) -> bool:
         """Whether the target has requests in progress."""
-        return self.processor.load(now) > 0
+        return self.processor.has_requests(now)
 
     def apply_settings(self, settings: FlowSettings) -> None:
         """Apply the target's service and address, and the seeds."""
--- a/src/balsamtide/flow_node/daemon.py
+++ b/src/balsamtide/flow_node/daemon.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from random import SystemRandom
 from time import process_time, sleep
+from typing import TYPE_CHECKING
 
 from balsamtide.clock import boot_time
 from balsamtide.fleet.view_gossip import ViewGossip
@@ -12,7 +13,11 @@
 from balsamtide.flow_node.events import DOCUMENT_REJECTED, NODE_STARTED, NODE_STOPPED
 from balsamtide.flow_node.metrics import DOCUMENTS_REJECTED
 from balsamtide.flow_node.runtime import FlowRuntime
-from balsamtide.flow_node.settings import FlowSettings, FlowSettingsError
+from balsamtide.flow_node.settings import (
+    FlowSettings,
+    FlowSettingsError,
+    WarmUpLimit,
+)
 from balsamtide.flow_node.settings_source import SettingsSource
 from balsamtide.flow_node.startup_client import StartupClient
 from balsamtide.flow_node.startup_loop import StartupLoop
@@ -22,6 +27,9 @@
 from balsamtide.telemetry.line_sink import LineSink
 from balsamtide.transport.addresses import parse_ipv4
 
+if TYPE_CHECKING:
+    from balsamtide.flows.warm_up import WarmUpLimiter
+
 __all__ = ["EXIT_SETTINGS", "FlowDaemon", "read_first_settings", "run_daemon"]
 
 EXIT_SETTINGS = 2
@@ -159,6 +167,7 @@
             evacuation=ZoneEvacuation(
                 timeout_s=settings.evacuation_timeout_s, zone=settings.zone
             ),
+            limiter=_make_limiter(settings.warm_up_limit),
         )
         return AgentRuntime(
             processor=agent,
@@ -191,6 +200,14 @@
         run(node.run, clock=BootTimeClock())
 
 
+def _make_limiter(limit: WarmUpLimit | None) -> "WarmUpLimiter | None":
+    from balsamtide.flows.warm_up import WarmUpLimiter
+
+    if limit is None:
+        return None
+    return WarmUpLimiter(factor=limit.factor, margin=limit.margin, now=boot_time())
+
+
 def _import_libraries() -> None:
     """Import the modules that `FlowDaemon` needs after the startup loop, and trio."""
     import balsamtide.flow_node.http_client
--- a/src/balsamtide/flows/agent_state.py
+++ b/src/balsamtide/flows/agent_state.py
@@ -4,9 +4,10 @@
 from math import inf
 from typing import Any
 
-from balsamtide.fleet.view import FlowTarget
+from balsamtide.fleet.view import FlowTarget, WarmUp
 from balsamtide.fleet.view_gossip import ViewGossip
 from balsamtide.flows.evacuation import ZoneEvacuation
+from balsamtide.flows.events import TARGET_COLD
 from balsamtide.flows.flow_queue import FlowQueue, QueueOrder
 from balsamtide.flows.local_flows import LocalFlow, LocalFlows
 from balsamtide.flows.metrics import PACKETS
@@ -14,6 +15,7 @@
 from balsamtide.flows.processor import FlowProcessor
 from balsamtide.flows.rebalancing import QueueRebalancing
 from balsamtide.flows.spillover import SpilloverPolicy
+from balsamtide.flows.warm_up import WarmUpLimiter
 from balsamtide.protocol.flow_actions import Action, ToTarget
 from balsamtide.protocol.flow_frames import (
     Carry,
@@ -35,6 +37,8 @@
 # Time after a suspension in which digests of peers bring a new view; they are sent
 # every 0.25 s.  It is limited because the store may be unavailable.
 CATCH_UP_S = 0.5
+# Shortest mean service time by which a wait is expressed as a load.
+MIN_SERVICE_TIME_S = 0.001
 # Flows with shorter requests are not queued: a slot is idle during the handshake of a
 # queued flow, and its 5 ms would exceed a quarter of the service time.
 MIN_QUEUED_SERVICE_TIME_S = 0.02
@@ -88,6 +92,8 @@
         Local time of the start, in seconds.
     evacuation : ZoneEvacuation or None
         As for `FlowProcessor`.
+    limiter : WarmUpLimiter or None
+        Limits the SYNs that the target gets while it is cold; None for no limit.
     """
 
     def __init__(
@@ -104,6 +110,7 @@
         flow_lifetime_s: float,
         now: float,
         evacuation: ZoneEvacuation | None = None,
+        limiter: WarmUpLimiter | None = None,
     ) -> None:
         super().__init__(
             host=host,
@@ -112,6 +119,7 @@
             sink=sink,
             evacuation=evacuation,
         )
+        self.limiter = limiter
         self.spillover = spillover
         self.rebalancing = rebalancing
         # Agents whose targets were available at the last change of the view, None
@@ -190,8 +198,13 @@
             self.caught_up_at = now + CATCH_UP_S
 
     def _lacks_view(self) -> bool:
-        """Whether the settings allow evacuations, and none can be known yet."""
-        return self.view.revision < 0 and self.evacuation.timeout_s is not None
+        """Whether the settings allow what can't be known without a view.
+
+        That is whether the zone is evacuated, and whether the target is cold.
+        """
+        if self.view.revision >= 0:
+            return False
+        return self.evacuation.timeout_s is not None or self.limiter is not None
 
     def _is_known_absent(self, key: bytes, now: float) -> bool:
         """Whether the target certainly does not have a flow missing from the table."""
@@ -206,16 +219,64 @@
         """Return the active and queued requests per slot of the target."""
         return self._demand(now) / self._capacity()
 
-    def _demand(self, now: float) -> int:
-        """Return the number of requests at the target and of queued flows."""
-        return self.flows.busy(now) + len(self.queue)
+    def has_requests(self, now: float) -> bool:
+        """Whether the target or the queue has requests."""
+        return self.flows.busy(now) + len(self.queue) > 0
+
+    def _demand(self, now: float) -> float:
+        """Return the number of requests at the target and of queued flows.
+
+        At a cold target that gets no SYN now, return the number after which a new flow
+        would wait as long as it has to, so that `SpilloverPolicy` and other processes
+        need not know the reason of the wait.
+        """
+        demand = self.flows.busy(now) + len(self.queue)
+        wait_s = self._warm_up_wait_s(now, len(self.queue))
+        if wait_s <= 0.0:
+            return demand
+        capacity = self._capacity()
+        service_time_s = max(self._service_time_s(), MIN_SERVICE_TIME_S)
+        return max(demand, capacity, capacity - 1 + capacity * wait_s / service_time_s)
+
+    # Cold start of the target
+
+    def _cold_warm_up(self, now: float) -> WarmUp | None:
+        """Return the warm-up of the target's service while it limits new flows."""
+        if self.limiter is None:
+            return None
+        warm_up = self.view.configuration.warm_ups.get(self.service)
+        target = self.own_target()
+        is_warm = target is not None and now >= target.warm_at
+        return None if is_warm and now >= self.limiter.assumed_until else warm_up
+
+    def _warm_up_wait_s(self, now: float, ahead: int = 0) -> float:
+        """Return how long the target is too cold for a SYN behind ``ahead`` others."""
+        if self.limiter is None:
+            return 0.0
+        warm_up = self._cold_warm_up(now)
+        if warm_up is None:
+            return 0.0
+        return self.limiter.admits_at(warm_up, ahead, now) - now
+
+    def _assume_cold(self, reason: str, now: float) -> None:
+        """Limit new flows because the target may have restarted."""
+        if self.limiter is None:
+            return
+        warm_up = self.view.configuration.warm_ups.get(self.service)
+        if warm_up is not None:
+            self.limiter.assume_cold(warm_up, now)
+            self.sink.event(
+                TARGET_COLD, reason=reason, lasts_ms=round(warm_up.lasts_s * 1000)
+            )
 
     def _may_deliver(self, now: float) -> bool:
         """Whether a new flow is delivered now instead of queued.
 
         True also without a free slot if requests are too short to be queued, or if
-        `MAX_OVERCOMMIT` allows one more.
+        `MAX_OVERCOMMIT` allows one more; false while a cold target gets no SYN.
         """
+        if self._warm_up_wait_s(now) > 0.0:
+            return False
         if self._service_time_s() < MIN_QUEUED_SERVICE_TIME_S:
             return True
         return self.flows.busy(now) < self._capacity() + MAX_OVERCOMMIT
@@ -253,6 +314,11 @@
         self.sink.count(PACKETS, direction="to-target")
         return ToTarget(raw)
 
+    def _send_syn(self, raw: bytes, now: float) -> Action:
+        if self.limiter is not None:
+            self.limiter.record(now)
+        return self._send_to_target(raw)
+
     def _elapsed(self, handshake: PendingHandshake, now: float) -> float:
         """Return the seconds since the balancer received the SYN."""
         return handshake.carry.elapsed_s + now - handshake.delivered_at
--- a/src/balsamtide/flows/events.py
+++ b/src/balsamtide/flows/events.py
@@ -17,6 +17,7 @@
     "FLOW_TAKEN",
     "INSTANCE_LEAVING",
     "FLOW_WAITS",
+    "TARGET_COLD",
     "TARGET_SILENT",
     "TARGET_SPEAKS",
     "ZONE_EVACUATED",
@@ -76,7 +77,8 @@
         "is not listed; lapsed: it was missing from the list for too long; "
         "other-service: it serves another one; returned: it returned the SYN; stale: "
         "routed by an older configuration; evacuated: the target's zone is evacuated; "
-        "suspended: the agent was suspended and waits for a confirmed view",
+        "suspended: the agent was suspended and waits for a confirmed view; cold: the "
+        "target takes no more new flows in this second",
     }
     | VIEW_FIELDS,
 )
@@ -87,9 +89,10 @@
     meaning="A new flow was reset; its request has not run.",
     action="no-route: check the configured routes; no-target: check the service's "
     "targets; overload: check its load; evacuated: all targets of the service are in "
-    "evacuated zones, so end an evacuation or add targets in another zone.",
+    "evacuated zones, so end an evacuation or add targets in another zone; cold: the "
+    "target's warm-up rate is too low for the load.",
     fields=FLOW_FIELDS
-    | {"reason": "no-route, no-target, evacuated or overload"}
+    | {"reason": "no-route, no-target, evacuated, overload or cold"}
     | VIEW_FIELDS,
 )
 FLOW_DROPPED = Event(
@@ -223,3 +226,15 @@
     "of new flows that go there rises.",
     fields={"zone": "availability zone"} | VIEW_FIELDS,
 )
+TARGET_COLD = Event(
+    number=926,
+    name="target-cold",
+    level=Level.INFO,
+    meaning="An agent assumes that its target has restarted and is cold, and limits "
+    "its new flows.",
+    fields={
+        "reason": "silent: it answers again after it was unresponsive; returned: it "
+        "returned a packet of an open flow",
+        "lasts_ms": "milliseconds for which it is assumed to be cold",
+    },
+)
--- a/src/balsamtide/flows/flow_agent.py
+++ b/src/balsamtide/flows/flow_agent.py
@@ -179,6 +179,7 @@
             silent_ms = round((now - self.unresponsive_since) * 1000)
             self.unresponsive_since = inf
             self.sink.event(TARGET_SPEAKS, silent_ms=silent_ms)
+            self._assume_cold("silent", now)
 
     def _track_answer(self, packet: FlowPacket, now: float) -> list[Action]:
         """Update the flow of a target's packet; return a confirmation if one is due.
@@ -247,6 +248,9 @@
         if flow is None:
             return []
         self.flows.drop(key)
+        has_fin = flow.has_client_fin or flow.has_target_fin
+        if flow.is_open and not has_fin and not packet.is_reset:
+            self._assume_cold("returned", now)
         if flow.is_open and flow.target_isn is not None and not packet.is_reset:
             self.report(FLOW_LOST, key, now)
             return [ToClient(packet.source[0], self.packets.reset(packet))]
--- a/src/balsamtide/flows/new_flows.py
+++ b/src/balsamtide/flows/new_flows.py
@@ -65,7 +65,7 @@
         key = packet.client_key
         flow = self._known_flow(key, now)
         if flow is not None and flow.is_syn_retransmission(packet.sequence):
-            withheld = self._withheld_reason(now)
+            withheld = self._withheld_reason(now) or self._cold_reason(now)
             if not withheld:
                 return self._handle_retransmission(packet, carry, flow, now)
             self.sink.count(OPENINGS_WITHHELD, reason=withheld)
@@ -106,7 +106,7 @@
             # The client has the SYN-ACK; the retransmission was delayed.
             return [taken]
         flow.last_balancer = carry.origin
-        return [self._send_to_target(packet.raw), taken]
+        return [self._send_syn(packet.raw, now), taken]
 
     def _reroute_stale_service(
         self, packet: FlowPacket, carry: Carry, now: float
@@ -138,6 +138,10 @@
         homes = self.available_homes(self.service, key, now, without=excluded)
         return [t.host for t in homes] or self._peers(self.service, key, carry, now)
 
+    def _cold_reason(self, now: float) -> str:
+        """Return "cold" while the target is too cold for a SYN, else nothing."""
+        return "cold" if self._warm_up_wait_s(now) > 0.0 else ""
+
     def _spill_over(self, packet: FlowPacket, carry: Carry, now: float) -> list[Action]:
         route = self.view.route(packet.destination)
         decision = self.spillover.decide(
@@ -164,8 +168,11 @@
                     best_host=decision.best_host,
                     best_load=decision.best_load,
                 )
+                cold = self._cold_reason(now)
+                if cold:
+                    self.sink.count(OPENINGS_WITHHELD, reason=cold)
                 return self._forward(
-                    packet, forwarded_carry, decision.host, "busy", now
+                    packet, forwarded_carry, decision.host, cold or "busy", now
                 )
             case Refuse() if now < self.view.settles_at:
                 # Returning targets will take part of the load.
@@ -182,6 +189,9 @@
             return self._refuse(packet, carry, now, "overload")
         key = packet.client_key
         queued = self._queued_flow(packet, carry, now)
+        wait_s = self._warm_up_wait_s(now, len(self.queue))
+        if now + wait_s > queued.give_up_at and reason != "settling":
+            return self._refuse(packet, carry, now, "cold")
         self.forwarded.pop(key, None)
         self.queue.add(key, queued)
         self.next_queue_check_at = min(
@@ -280,7 +290,7 @@
         )
         self.sink.count(HOPS, hops=str(len(carry.visited)))
         return [
-            self._send_to_target(packet.raw),
+            self._send_syn(packet.raw, now),
             SendFrame(carry.origin, Taken(key, self.load(now))),
         ]
 
--- a/src/balsamtide/flows/spillover.py
+++ b/src/balsamtide/flows/spillover.py
@@ -35,8 +35,9 @@
     ----------
     host : int
         IPv4 address of this instance, as a number.
-    demand : int
-        Requests at the target, and queued flows.
+    demand : float
+        Requests at the target, and queued flows; more while the target is too cold to
+        take another one.
     capacity : int
         Requests that the target processes at once.
     service_time_s : float
@@ -54,7 +55,7 @@
     """
 
     host: int
-    demand: int
+    demand: float
     capacity: int
     service_time_s: float
     peers: Sequence[int]
