--- a/src/balsamtide/flow_node/daemon.py
+++ b/src/balsamtide/flow_node/daemon.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from random import SystemRandom
 from time import process_time, sleep
+from typing import TYPE_CHECKING
 
 from balsamtide.clock import boot_time
 from balsamtide.fleet.view_gossip import ViewGossip
@@ -18,7 +19,11 @@
 from balsamtide.flow_node.http import BaseHttpClient
 from balsamtide.flow_node.metrics import DOCUMENTS_REJECTED, STORE_ERAS_UNKNOWN
 from balsamtide.flow_node.runtime import FlowRuntime
-from balsamtide.flow_node.settings import FlowSettings, FlowSettingsError
+from balsamtide.flow_node.settings import (
+    FlowSettings,
+    FlowSettingsError,
+    WarmUpLimit,
+)
 from balsamtide.flow_node.settings_source import SettingsSource
 from balsamtide.flow_node.startup_client import StartupClient
 from balsamtide.flow_node.startup_loop import StartupLoop
@@ -28,6 +33,9 @@
 from balsamtide.telemetry.line_sink import LineSink
 from balsamtide.transport.addresses import parse_ipv4
 
+if TYPE_CHECKING:
+    from balsamtide.flows.warm_up import WarmUpLimiter
+
 __all__ = ["EXIT_SETTINGS", "FlowDaemon", "read_first_settings", "run_daemon"]
 
 EXIT_SETTINGS = 2
@@ -121,6 +129,7 @@
 
     def _make_balancer(self, gossip: ViewGossip) -> FlowRuntime:
         from balsamtide.flow_node.balancer_runtime import BalancerRuntime
+        from balsamtide.flows.evacuation import ZoneEvacuation
         from balsamtide.flows.flow_balancer import FlowBalancer
         from balsamtide.flows.placement import LeastLoadedPlacement
 
@@ -131,6 +140,9 @@
             gossip=gossip,
             placement=LeastLoadedPlacement(zone=settings.zone, random=self.random),
             sink=sink,
+            evacuation=ZoneEvacuation(
+                timeout_s=settings.evacuation_timeout_s, zone=settings.zone
+            ),
         )
         return BalancerRuntime(
             processor=balancer,
@@ -142,6 +154,7 @@
 
     def _make_agent(self, gossip: ViewGossip, service: str) -> FlowRuntime:
         from balsamtide.flow_node.agent_runtime import AgentRuntime
+        from balsamtide.flows.evacuation import ZoneEvacuation
         from balsamtide.flows.flow_agent import FlowAgent
         from balsamtide.flows.flow_queue import ObjectiveOrder
         from balsamtide.flows.rebalancing import MoveShareOfNewTargets
@@ -159,6 +172,10 @@
             sink=sink,
             flow_lifetime_s=settings.flow_lifetime_s,
             now=boot_time(),
+            evacuation=ZoneEvacuation(
+                timeout_s=settings.evacuation_timeout_s, zone=settings.zone
+            ),
+            limiter=_make_limiter(settings.warm_up_limit),
         )
         return AgentRuntime(
             processor=agent,
@@ -202,6 +219,14 @@
         run(node.run, clock=BootTimeClock())
 
 
+def _make_limiter(limit: WarmUpLimit | None) -> "WarmUpLimiter | None":
+    from balsamtide.flows.warm_up import WarmUpLimiter
+
+    if limit is None:
+        return None
+    return WarmUpLimiter(factor=limit.factor, margin=limit.margin, now=boot_time())
+
+
 def _import_libraries() -> None:
     """Import the modules that `FlowDaemon` needs after the startup loop, and trio."""
     import balsamtide.flow_node.http_client
--- a/src/balsamtide/flows/events.py
+++ b/src/balsamtide/flows/events.py
@@ -17,8 +17,11 @@
     "FLOW_TAKEN",
     "INSTANCE_LEAVING",
     "FLOW_WAITS",
+    "TARGET_COLD",
     "TARGET_SILENT",
     "TARGET_SPEAKS",
+    "ZONE_EVACUATED",
+    "ZONE_RETURNS",
 ]
 
 FLOW_FIELDS = {"flow": "client address and port, service address and port"}
@@ -73,7 +76,9 @@
         "reason": "busy; draining; silent; stopping: the agent stops; gone: the target "
         "is not listed; lapsed: it was missing from the list for too long; "
         "other-service: it serves another one; returned: it returned the SYN; stale: "
-        "routed by an older configuration",
+        "routed by an older configuration; evacuated: the target's zone is evacuated; "
+        "suspended: the agent was suspended and waits for a confirmed view; cold: the "
+        "target takes no more new flows in this second",
     }
     | VIEW_FIELDS,
 )
@@ -83,8 +88,12 @@
     level=Level.WARNING,
     meaning="A new flow was reset; its request has not run.",
     action="no-route: check the configured routes; no-target: check the service's "
-    "targets; overload: check its load.",
-    fields=FLOW_FIELDS | {"reason": "no-route, no-target or overload"} | VIEW_FIELDS,
+    "targets; overload: check its load; evacuated: all targets of the service are in "
+    "evacuated zones, so end an evacuation or add targets in another zone; cold: the "
+    "target's warm-up rate is too low for the load.",
+    fields=FLOW_FIELDS
+    | {"reason": "no-route, no-target, evacuated, overload or cold"}
+    | VIEW_FIELDS,
 )
 FLOW_DROPPED = Event(
     number=905,
@@ -201,3 +210,33 @@
     }
     | VIEW_FIELDS,
 )
+# Numbers 917 to 923 are left to decisions about single flows.
+ZONE_EVACUATED = Event(
+    number=924,
+    name="zone-evacuated",
+    level=Level.WARNING,
+    meaning="This process learned that an availability zone is evacuated; the share of "
+    "new flows that go there falls to 0.",
+    action="Nothing if an operator evacuated the zone.",
+    fields={"zone": "availability zone"} | VIEW_FIELDS,
+)
+ZONE_RETURNS = Event(
+    number=925,
+    name="zone-returns",
+    level=Level.INFO,
+    meaning="This process learned that the evacuation of a zone has ended; the share "
+    "of new flows that go there rises.",
+    fields={"zone": "availability zone"} | VIEW_FIELDS,
+)
+TARGET_COLD = Event(
+    number=926,
+    name="target-cold",
+    level=Level.INFO,
+    meaning="An agent assumes that its target has restarted and is cold, and limits "
+    "its new flows.",
+    fields={
+        "reason": "silent: it answers again after it was unresponsive; returned: it "
+        "returned a packet of an open flow",
+        "lasts_ms": "milliseconds for which it is assumed to be cold",
+    },
+)
--- a/src/balsamtide/flows/flow_agent.py
+++ b/src/balsamtide/flows/flow_agent.py
@@ -180,6 +180,7 @@
             silent_ms = round((now - self.unresponsive_since) * 1000)
             self.unresponsive_since = inf
             self.sink.event(TARGET_SPEAKS, silent_ms=silent_ms)
+            self._assume_cold("silent", now)
 
     def _track_answer(self, packet: FlowPacket, now: float) -> list[Action]:
         """Update the flow of a target's packet; return a confirmation if one is due.
@@ -260,6 +261,9 @@
         if flow is None:
             return []
         self.flows.drop(key)
+        has_fin = flow.has_client_fin or flow.has_target_fin
+        if flow.is_open and not has_fin and not packet.is_reset:
+            self._assume_cold("returned", now)
         if flow.is_open and flow.target_isn is not None and not packet.is_reset:
             self.report(FLOW_LOST, key, now)
             return [ToClient(packet.source[0], self.packets.reset(packet))]
@@ -304,6 +308,8 @@
 
     def tick(self, now: float) -> list[Action]:
         """Run the timers that expired and return the actions to perform."""
+        self._detect_suspension(now)
+        self.last_tick_at = now
         actions = self.gossip.tick(now)
         for key in [
             key
@@ -316,6 +322,7 @@
             self.next_queue_check_at = now + QUEUE_CHECK_PERIOD_S if self.queue else inf
         if self.next_sweep_at <= now:
             self.next_sweep_at = now + SWEEP_PERIOD_S
+            self.update_zones(now)
             self.flows.expire(now, self.idle_timeout_s)
             self.forwarded = {
                 key: forwarded
--- a/src/balsamtide/flows/new_flows.py
+++ b/src/balsamtide/flows/new_flows.py
@@ -12,7 +12,7 @@
 )
 from balsamtide.flows.flow_queue import QueuedFlow
 from balsamtide.flows.local_flows import LocalFlow
-from balsamtide.flows.metrics import HOPS
+from balsamtide.flows.metrics import HOPS, OPENINGS_WITHHELD
 from balsamtide.flows.packet import FlowPacket
 from balsamtide.flows.spillover import (
     Accept,
@@ -51,16 +51,29 @@
 MAX_START_RATIO = 0.9
 # Check of the queue while no packets arrive.
 QUEUE_CHECK_PERIOD_S = 0.02
+# Reasons that are counted, since they keep all SYNs from an available target.
+WITHHELD_REASONS = ("evacuated", "suspended")
 
 
 class NewFlowProcessor(AgentState):
     """Delivers, queues, forwards or refuses new flows."""
 
     def _handle_syn(self, packet: FlowPacket, carry: Carry, now: float) -> list[Action]:
+        if self._lacks_view():
+            self.sink.count(OPENINGS_WITHHELD, reason="no-view")
+            return self._disown(packet, carry, DisownReason.NOT_HERE, now)
         key = packet.client_key
         flow = self._known_flow(key, now)
         if flow is not None and flow.is_syn_retransmission(packet.sequence):
-            return self._handle_retransmission(packet, carry, flow, now)
+            withheld = self._withheld_reason(now) or self._cold_reason(now)
+            if not withheld:
+                return self._handle_retransmission(packet, carry, flow, now)
+            self.sink.count(OPENINGS_WITHHELD, reason=withheld)
+            if flow.is_open or flow.target_isn is not None:
+                # The target has the flow and may have sent the SYN-ACK.
+                return [SendFrame(carry.origin, Taken(key, self.load(now)))]
+            self.flows.drop(key)
+            self.pending_handshakes.pop(key, None)
         queued = self.queue.get(key)
         if queued is not None and queued.packet.sequence != packet.sequence:
             # The client uses the port of the queued flow again.
@@ -85,6 +98,8 @@
             return rerouted
         unavailable = self._unavailable_reason(now)
         if unavailable:
+            if unavailable in WITHHELD_REASONS:
+                self.sink.count(OPENINGS_WITHHELD, reason=unavailable)
             return self._forward_to_peer(packet, carry, unavailable, now)
         if carry.must_take:
             return self._deliver_or_queue(packet, carry, "told to", now)
@@ -103,7 +118,7 @@
             # The flow would only be opened by this SYN.
             return self._forward_to_peer(packet, carry, unavailable, now)
         flow.last_balancer = carry.origin
-        return [self._send_to_target(packet.raw), taken]
+        return [self._send_syn(packet.raw, now), taken]
 
     def _reroute_stale_service(
         self, packet: FlowPacket, carry: Carry, now: float
@@ -124,15 +139,20 @@
         )
         return self._forward_to_service(packet, newer, service, "stale", now)
 
-    def _peers(self, service: str, carry: Carry, now: float) -> list[int]:
+    def _peers(self, service: str, key: bytes, carry: Carry, now: float) -> list[int]:
         excluded = (*carry.visited, self.host)
-        return [t.host for t in self.available_targets(service, now, without=excluded)]
+        targets = self.available_targets(service, now, without=excluded, key=key)
+        return [t.host for t in targets]
 
     def _nearest_peers(self, key: bytes, carry: Carry, now: float) -> list[int]:
         """Return the flow's available home targets, or all peers if there are none."""
         excluded = (*carry.visited, self.host)
         homes = self.available_homes(self.service, key, now, without=excluded)
-        return [t.host for t in homes] or self._peers(self.service, carry, now)
+        return [t.host for t in homes] or self._peers(self.service, key, carry, now)
+
+    def _cold_reason(self, now: float) -> str:
+        """Return "cold" while the target is too cold for a SYN, else nothing."""
+        return "cold" if self._warm_up_wait_s(now) > 0.0 else ""
 
     def _spill_over(self, packet: FlowPacket, carry: Carry, now: float) -> list[Action]:
         route = self.view.route(packet.destination)
@@ -160,8 +180,11 @@
                     best_host=decision.best_host,
                     best_load=decision.best_load,
                 )
+                cold = self._cold_reason(now)
+                if cold:
+                    self.sink.count(OPENINGS_WITHHELD, reason=cold)
                 return self._forward(
-                    packet, forwarded_carry, decision.host, "busy", now
+                    packet, forwarded_carry, decision.host, cold or "busy", now
                 )
             case Refuse() if now < self.view.settles_at:
                 # Returning targets will take part of the load.
@@ -178,6 +201,9 @@
             return self._refuse(packet, carry, now, "overload")
         key = packet.client_key
         queued = self._queued_flow(packet, carry, now)
+        wait_s = self._warm_up_wait_s(now, len(self.queue))
+        if now + wait_s > queued.give_up_at and reason != "settling":
+            return self._refuse(packet, carry, now, "cold")
         self.forwarded.pop(key, None)
         self.queue.add(key, queued)
         self.next_queue_check_at = min(
@@ -231,12 +257,18 @@
 
     def view_changed(self, now: float) -> list[Action]:
         """Move queued flows to targets that the change of the view added."""
-        hosts = frozenset(t.host for t in self.available_targets(self.service, now))
+        self.update_zones(now)
+        actions = self._admit_queued(now) if self._withheld_reason(now) else []
+        # A returning zone gets its share by the keys of flows and not at once.
+        hosts = frozenset(
+            t.host
+            for t in self.available_targets(self.service, now)
+            if self.evacuation.share(t.zone, t.service, self.view, now) >= 1.0
+        )
         before, self.seen_hosts = self.seen_hosts, hosts
         if before is None or not self.queue:
-            return []
+            return actions
         new_hosts = sorted(hosts - before - {self.host})
-        actions: list[Action] = []
         for host in self.rebalancing.destinations(
             len(self.queue), new_hosts, len(hosts)
         ):
@@ -270,7 +302,7 @@
         )
         self.sink.count(HOPS, hops=str(len(carry.visited)))
         return [
-            self._send_to_target(packet.raw),
+            self._send_syn(packet.raw, now),
             SendFrame(carry.origin, Taken(key, self.load(now))),
         ]
 
@@ -283,8 +315,11 @@
         self, packet: FlowPacket, carry: Carry, service: str, reason: str, now: float
     ) -> list[Action]:
         """Forward a new flow to any available agent of a service."""
-        peers = self._peers(service, carry, now)
-        if not peers or len(carry.visited) >= MAX_VISITED:
+        peers = self._peers(service, packet.client_key, carry, now)
+        if not peers:
+            reason = self.no_target_reason(service, now)
+            return self._refuse(packet, carry, now, reason)
+        if len(carry.visited) >= MAX_VISITED:
             return self._refuse(packet, carry, now, "no-target")
         # The best host if it is available, otherwise a peer by the flow's key: this
         # spreads flows, and retransmissions get the same peer.
