Place new flows by shared loads of targets, interpreted by their age

Balancers and agents keep a table of reported loads. Balancers distribute new flows by expected free capacity and prefer their zone; agents forward only where a peer is likely to start the flow earlier.

--- a/src/balsamtide/fleet/target_ring.py
+++ b/src/balsamtide/fleet/target_ring.py
@@ -11,7 +11,7 @@
 
 from balsamtide.fleet.target import FlowTarget
 
-__all__ = ["HOME_COUNT", "NEIGHBOR_COUNT", "TargetRing"]
+__all__ = ["HOME_COUNT", "MAX_WITHOUT_RING", "NEIGHBOR_COUNT", "TargetRing"]
 
 # At 60% of all slots in use, one of six candidates is free for 95% of the new flows;
 # the others wait or are forwarded.
--- a/src/balsamtide/fleet/view.py
+++ b/src/balsamtide/fleet/view.py
@@ -292,6 +292,10 @@
         }
         return after
 
+    def size(self, service: str) -> int:
+        """Return the number of targets of a service, in any state."""
+        return len(self.by_service.get(service, ()))
+
     def homes(self, service: str, key: bytes) -> tuple[FlowTarget, ...]:
         """Return the home targets of a flow, in any state."""
         return self._ring(service).homes(key)
--- a/src/balsamtide/flow_node/daemon.py
+++ b/src/balsamtide/flow_node/daemon.py
@@ -3,8 +3,9 @@
 import gc
 import sys
 from collections.abc import Callable
-from random import SystemRandom
+from random import Random, SystemRandom
 from time import process_time, sleep
+from typing import TYPE_CHECKING
 
 from balsamtide.clock import boot_time
 from balsamtide.fleet.view_gossip import ViewGossip
@@ -22,6 +23,9 @@
 from balsamtide.telemetry.line_sink import LineSink
 from balsamtide.transport.addresses import parse_ipv4
 
+if TYPE_CHECKING:
+    from balsamtide.flows.load_table import LoadTable
+
 __all__ = ["EXIT_SETTINGS", "FlowDaemon", "read_first_settings", "run_daemon"]
 
 EXIT_SETTINGS = 2
@@ -105,23 +109,53 @@
             random=self.random,
             now=boot_time(),
         )
+        loads = self._make_loads(gossip)
+        gossip.loads = loads
         if settings.agent is None:
-            return self._make_balancer(gossip)
-        return self._make_agent(gossip, settings.agent.service)
+            return self._make_balancer(gossip, loads)
+        return self._make_agent(gossip, settings.agent.service, loads)
+
+    def _make_loads(self, gossip: ViewGossip) -> "LoadTable | None":
+        """Return the shared loads, None in a deployment with one zone."""
+        if len(self.settings.zones) < 2:
+            return None
+        from balsamtide.flows.load_table import LoadTable
+
+        return LoadTable(
+            targets=lambda: gossip.view.by_host,
+            host=None if self.settings.agent is None else gossip.host,
+            now=boot_time(),
+        )
 
     # Each role imports only its own modules, which saves time and memory.
 
-    def _make_balancer(self, gossip: ViewGossip) -> FlowRuntime:
+    def _make_balancer(
+        self, gossip: ViewGossip, loads: "LoadTable | None"
+    ) -> FlowRuntime:
         from balsamtide.flow_node.balancer_runtime import BalancerRuntime
         from balsamtide.flows.flow_balancer import FlowBalancer
-        from balsamtide.flows.placement import LeastLoadedPlacement
+        from balsamtide.flows.placement import LeastLoadedPlacement, PlacementPolicy
 
         settings, sink = self.settings, self.sink
+        placement: PlacementPolicy = LeastLoadedPlacement(
+            zone=settings.zone, random=self.random
+        )
+        if loads is not None:
+            from balsamtide.flows.shared_load_placement import SharedLoadPlacement
+
+            placement = SharedLoadPlacement(
+                zone=settings.zone,
+                table=loads,
+                service_size=lambda name: gossip.view.size(name),
+                small_services=placement,
+                random=Random(self.random.getrandbits(64)),
+                sink=sink,
+            )
         balancer = FlowBalancer(
             host=gossip.host,
             packets=WirePackets(),
             gossip=gossip,
-            placement=LeastLoadedPlacement(zone=settings.zone, random=self.random),
+            placement=placement,
             sink=sink,
         )
         return BalancerRuntime(
@@ -132,25 +166,38 @@
             bind=self.binder.bind,
         )
 
-    def _make_agent(self, gossip: ViewGossip, service: str) -> FlowRuntime:
+    def _make_agent(
+        self, gossip: ViewGossip, service: str, loads: "LoadTable | None"
+    ) -> FlowRuntime:
         from balsamtide.flow_node.agent_runtime import AgentRuntime
         from balsamtide.flows.flow_agent import FlowAgent
         from balsamtide.flows.flow_queue import ObjectiveOrder
         from balsamtide.flows.rebalancing import MoveShareOfNewTargets
-        from balsamtide.flows.spillover import LoadSpillover
+        from balsamtide.flows.spillover import LoadSpillover, PeerChoice, RandomPeer
 
         settings, sink = self.settings, self.sink
+        peers: PeerChoice = RandomPeer(random=self.random)
+        if loads is not None:
+            from balsamtide.flows.shared_load_peers import SharedLoadPeer
+
+            peers = SharedLoadPeer(
+                table=loads,
+                service_size=lambda name: gossip.view.size(name),
+                small_services=peers,
+                random=Random(self.random.getrandbits(64)),
+            )
         agent = FlowAgent(
             host=gossip.host,
             service=service,
             packets=WirePackets(),
             gossip=gossip,
-            spillover=LoadSpillover(random=self.random),
+            spillover=LoadSpillover(random=self.random, peers=peers),
             rebalancing=MoveShareOfNewTargets(random=self.random),
             order=ObjectiveOrder(),
             sink=sink,
             flow_lifetime_s=settings.flow_lifetime_s,
             now=boot_time(),
+            loads=loads,
         )
         return AgentRuntime(
             processor=agent,
--- a/src/balsamtide/flows/agent_state.py
+++ b/src/balsamtide/flows/agent_state.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 from math import inf
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from balsamtide.fleet.view import FlowTarget
 from balsamtide.fleet.view_gossip import ViewGossip
@@ -20,6 +20,10 @@
 )
 from balsamtide.telemetry.sink import Sink
 
+if TYPE_CHECKING:
+    # Loaded only by processes that share loads.
+    from balsamtide.flows.load_table import LoadTable
+
 __all__ = ["AgentState", "PendingHandshake", "ForwardedFlow"]
 
 # A target answers a SYN at once; allows several scheduling delays of a slow target.
@@ -80,6 +84,8 @@
         Longest lifetime of a flow, in seconds.
     now : float
         Local time of the start, in seconds.
+    loads : LoadTable or None
+        Loads that are shared with other processes.
     """
 
     def __init__(
@@ -95,10 +101,12 @@
         sink: Sink,
         flow_lifetime_s: float,
         now: float,
+        loads: "LoadTable | None" = None,
     ) -> None:
         super().__init__(host=host, packets=packets, gossip=gossip, sink=sink)
         self.spillover = spillover
         self.rebalancing = rebalancing
+        self.loads = loads
         # Agents whose targets were available at the last change of the view, None
         # before the first one.
         self.seen_hosts: frozenset[int] | None = None
@@ -163,6 +171,12 @@
         """Return the number of requests at the target and of queued flows."""
         return self.flows.busy(now) + len(self.queue)
 
+    def _record_demand(self, now: float) -> None:
+        """Record a change of the demand for the mean that peers get."""
+        if self.loads is not None:
+            demand = len(self.flows.active) + len(self.queue)
+            self.loads.meter.update(demand, now)
+
     def _may_deliver(self, now: float) -> bool:
         """Whether a new flow is delivered now instead of queued.
 
--- a/src/balsamtide/flows/events.py
+++ b/src/balsamtide/flows/events.py
@@ -19,6 +19,7 @@
     "FLOW_WAITS",
     "TARGET_SILENT",
     "TARGET_SPEAKS",
+    "ZONE_SPILLS",
 ]
 
 FLOW_FIELDS = {"flow": "client address and port, service address and port"}
@@ -28,6 +29,13 @@
     "age_ms": "milliseconds since a reader confirmed that revision as the newest",
 }
 
+# Only in services whose loads are shared between processes.
+LOAD_FIELDS = {
+    "load": "requests per slot expected at the chosen target before this flow",
+    "load_age_ms": "milliseconds since its agent measured the reported mean of that; "
+    "null if none is known",
+}
+
 FLOW_PLACED = Event(
     number=901,
     name="flow-placed",
@@ -41,6 +49,7 @@
         "candidates": "targets available for new flows",
         "tries": "targets tried before for this flow",
     }
+    | LOAD_FIELDS
     | VIEW_FIELDS,
 )
 FLOW_TAKEN = Event(
@@ -75,6 +84,7 @@
         "other-service: it serves another one; returned: it returned the SYN; stale: "
         "routed by an older configuration",
     }
+    | LOAD_FIELDS
     | VIEW_FIELDS,
 )
 FLOW_REFUSED = Event(
@@ -199,3 +209,18 @@
     }
     | VIEW_FIELDS,
 )
+ZONE_SPILLS = Event(
+    number=917,
+    name="zone-spills",
+    level=Level.INFO,
+    meaning="The share of a zone's new flows that leave it starts to rise or to fall.",
+    action="If the share stays high, add targets in this zone.",
+    fields={
+        "service": "service of the flows",
+        "is_leaving": "whether the share rises",
+        "share": "present share, 0 to 1",
+        "local_load": "mean requests per slot at the targets of this zone",
+        "other_load": "mean requests per slot at the targets of the other zones",
+        "age_ms": "mean age of the loads, in milliseconds",
+    },
+)
--- a/src/balsamtide/flows/flow_agent.py
+++ b/src/balsamtide/flows/flow_agent.py
@@ -136,6 +136,7 @@
             # The request is complete.  A FIN can't tell, since a client sends it
             # together with its last request.
             self.flows.begin_request(flow, now)
+            self._record_demand(now)
 
     def _handle_unknown(
         self, packet: FlowPacket, carry: Carry, now: float
@@ -221,6 +222,7 @@
 
     def _finish_request(self, flow: LocalFlow, now: float) -> None:
         took_s = self.flows.end_request(flow, now, assumed_s=self._service_time_s())
+        self._record_demand(now)
         if took_s is None:
             return
         self.sink.observe(ANSWER_SECONDS, took_s)
--- a/src/balsamtide/flows/flow_balancer.py
+++ b/src/balsamtide/flows/flow_balancer.py
@@ -175,6 +175,7 @@
         if not candidates:
             return self._defer_or_refuse(packet, now)
         target = self.placement.choose(key, candidates, now)
+        inputs = self.placement.describe(target, now)
         self.placement.record_placement(target, now)
         flow = CachedFlow(target.host, service_tag(service), now)
         self.flows.put(key, flow)
@@ -191,6 +192,7 @@
             copies=packet.acknowledgement,
             candidates=len(candidates),
             tries=len(tried),
+            **inputs,
         )
         return [self._send_carry(packet, flow, elapsed_s=now - started_at)]
 
--- a/src/balsamtide/flows/metrics.py
+++ b/src/balsamtide/flows/metrics.py
@@ -10,6 +10,10 @@
     "HANDSHAKE_SECONDS",
     "PACKETS",
     "PACKETS_REJECTED",
+    "PLACEMENTS",
+    "REPORTED_LOADS",
+    "REPORTED_LOAD_AGE",
+    "ZONE_SPILL_SHARE",
 ]
 
 PACKETS = Metric(
@@ -52,3 +56,24 @@
     kind=MetricKind.HISTOGRAM,
     meaning="Time from a complete request to the first byte of its answer.",
 )
+PLACEMENTS = Metric(
+    name="flow_placements_total",
+    kind=MetricKind.COUNTER,
+    meaning="Placements by shared loads: in the same zone or another one.",
+    labels=("zone",),
+)
+REPORTED_LOADS = Metric(
+    name="reported_loads_known",
+    kind=MetricKind.GAUGE,
+    meaning="Targets whose load was reported to this process recently enough to count.",
+)
+REPORTED_LOAD_AGE = Metric(
+    name="reported_load_age_seconds",
+    kind=MetricKind.GAUGE,
+    meaning="Mean age of the reported loads that count.",
+)
+ZONE_SPILL_SHARE = Metric(
+    name="zone_spill_share",
+    kind=MetricKind.GAUGE,
+    meaning="Largest share, over all services, by which new flows leave their zone.",
+)
--- a/src/balsamtide/flows/new_flows.py
+++ b/src/balsamtide/flows/new_flows.py
@@ -2,6 +2,7 @@
 
 from dataclasses import replace
 from math import inf
+from typing import Any
 
 from balsamtide.flows.agent_state import AgentState, ForwardedFlow, PendingHandshake
 from balsamtide.flows.events import (
@@ -136,6 +137,7 @@
                 best_load=carry.best_load,
                 elapsed_s=carry.elapsed_s + packet.age_s,
                 timeout_s=route.timeout_s if route else DEFAULT_TIMEOUT_S,
+                now=now,
             )
         )
         match decision:
@@ -168,6 +170,7 @@
         queued = self._queued_flow(packet, carry, now)
         self.forwarded.pop(key, None)
         self.queue.add(key, queued)
+        self._record_demand(now)
         self.next_queue_check_at = min(
             self.next_queue_check_at, now + QUEUE_CHECK_PERIOD_S
         )
@@ -296,12 +299,21 @@
             busy=self.flows.busy(now),
             capacity=self._capacity(),
             reason=reason,
+            **self._describe_load(host, now),
         )
         visited = carry.visited
         if self.host not in visited and len(visited) < MAX_VISITED:
             visited = (*visited, self.host)
         return [SendFrame(host, replace(carry, visited=visited))]
 
+    def _describe_load(self, host: int, now: float) -> dict[str, Any]:
+        """Return what is known of the load of a peer, as fields of an event."""
+        target = self.view.by_host.get(host)
+        if self.loads is None or target is None:
+            return {}
+        (expected,) = self.loads.expected((target,), now)
+        return self.loads.describe(target, expected, now)
+
     def _refuse(
         self, packet: FlowPacket, carry: Carry, now: float, reason: str
     ) -> list[Action]:
--- a/src/balsamtide/flows/placement.py
+++ b/src/balsamtide/flows/placement.py
@@ -4,6 +4,7 @@
 from collections.abc import Sequence
 from math import inf
 from random import Random
+from typing import Any
 from zlib import crc32
 
 from balsamtide.fleet.view import FlowTarget
@@ -35,6 +36,10 @@
     def record_load(self, host: int, load: float, now: float) -> None:
         """Record the requests per slot that an agent reported."""
 
+    def describe(self, target: FlowTarget, now: float) -> dict[str, Any]:
+        """Return what is known of the load of a target, as fields of an event."""
+        return {}
+
 
 class HashPlacement(PlacementPolicy):
     """Rendezvous hashing, for comparison in tests and benchmarks.
--- a/src/balsamtide/flows/spillover.py
+++ b/src/balsamtide/flows/spillover.py
@@ -14,6 +14,8 @@
     "SpilloverPolicy",
     "LoadSpillover",
     "NoSpillover",
+    "PeerChoice",
+    "RandomPeer",
     "ForwardTo",
     "Refuse",
     "SpilloverContext",
@@ -51,6 +53,8 @@
         Seconds since the client first sent the SYN, as far as known.
     timeout_s : float
         Timeout of the request, in seconds.
+    now : float
+        Local time in seconds.
     """
 
     host: int
@@ -63,6 +67,7 @@
     best_load: float = 0.0
     elapsed_s: float = 0.0
     timeout_s: float = 1.0
+    now: float = 0.0
 
     @property
     def load(self) -> float:
@@ -121,17 +126,44 @@
         return Accept("always")
 
 
+class PeerChoice(ABC):
+    """Chooses the agent that gets a forwarded flow."""
+
+    @abstractmethod
+    def choose(self, context: SpilloverContext) -> int | None:
+        """Return one of the peers, None if none is likely to start the flow earlier."""
+
+
+class RandomPeer(PeerChoice):
+    """Chooses any peer.
+
+    Parameters
+    ----------
+    random : Random
+        Chooses among the peers.
+    """
+
+    def __init__(self, *, random: Random) -> None:
+        self.random = random
+
+    def choose(self, context: SpilloverContext) -> int | None:
+        """Return a random peer, None if there are none."""
+        return self.random.choice(context.peers) if context.peers else None
+
+
 class LoadSpillover(SpilloverPolicy):
     """Forwards flows until an agent with a free slot is found.
 
     Parameters
     ----------
     random : Random
+        Chooses the next agent if ``peers`` is not given.
+    peers : PeerChoice or None
         Chooses the next agent.
     """
 
-    def __init__(self, *, random: Random) -> None:
-        self.random = random
+    def __init__(self, *, random: Random, peers: PeerChoice | None = None) -> None:
+        self.peers = peers or RandomPeer(random=random)
 
     def decide(self, context: SpilloverContext) -> SpilloverDecision:
         """Return whether to accept, forward or refuse the flow."""
@@ -140,9 +172,10 @@
         best_host, best_load = context.best_host, context.best_load
         if best_host == 0 or context.load < best_load:
             best_host, best_load = context.host, context.load
-        if context.peers and context.hops < MAX_HOPS:
-            peer = self.random.choice(context.peers)
-            return ForwardTo(peer, False, best_host, best_load)
+        if context.hops < MAX_HOPS:
+            peer = self.peers.choose(context)
+            if peer is not None:
+                return ForwardTo(peer, False, best_host, best_load)
         if self._exceeds_wait_limit(context, best_load):
             return Refuse()
         if best_host == context.host:
