--- a/src/balsamtide/flow_node/daemon.py
+++ b/src/balsamtide/flow_node/daemon.py
@@ -26,7 +26,13 @@
 if TYPE_CHECKING:
     from balsamtide.flows.load_table import LoadTable
 
-__all__ = ["EXIT_SETTINGS", "FlowDaemon", "read_first_settings", "run_daemon"]
+__all__ = [
+    "EXIT_SETTINGS",
+    "FlowDaemon",
+    "make_load_table",
+    "read_first_settings",
+    "run_daemon",
+]
 
 EXIT_SETTINGS = 2
 # Longest time that the store may hold a watch; a dead connection is detected when a
@@ -109,24 +115,12 @@
             random=self.random,
             now=boot_time(),
         )
-        loads = self._make_loads(gossip)
+        loads = make_load_table(settings, gossip, now=boot_time())
         gossip.loads = loads
         if settings.agent is None:
             return self._make_balancer(gossip, loads)
         return self._make_agent(gossip, settings.agent.service, loads)
 
-    def _make_loads(self, gossip: ViewGossip) -> "LoadTable | None":
-        """Return the shared loads, None in a deployment with one zone."""
-        if len(self.settings.zones) < 2:
-            return None
-        from balsamtide.flows.load_table import LoadTable
-
-        return LoadTable(
-            targets=lambda: gossip.view.by_host,
-            host=None if self.settings.agent is None else gossip.host,
-            now=boot_time(),
-        )
-
     # Each role imports only its own modules, which saves time and memory.
 
     def _make_balancer(
@@ -230,6 +224,21 @@
         run(node.run, clock=BootTimeClock())
 
 
+def make_load_table(
+    settings: FlowSettings, gossip: ViewGossip, *, now: float
+) -> "LoadTable | None":
+    """Return the loads to share with peers, None in a deployment with one zone."""
+    if len(settings.zones) < 2:
+        return None
+    from balsamtide.flows.load_table import LoadTable
+
+    return LoadTable(
+        targets=lambda: gossip.view.by_host,
+        host=None if settings.agent is None else gossip.host,
+        now=now,
+    )
+
+
 def _import_libraries() -> None:
     """Import the modules that `FlowDaemon` needs after the startup loop, and trio."""
     import balsamtide.flow_node.http_client
--- a/src/balsamtide/flows/shared_load_placement.py
+++ b/src/balsamtide/flows/shared_load_placement.py
@@ -22,9 +22,12 @@
 __all__ = ["SharedLoadPlacement"]
 
 # Weight of a target in another zone, relative to one in this zone with the same free
-# capacity, while no flows have to leave.  Most flows have a home target in their zone,
-# and the weight keeps the loaded ones among these from getting the rest.
-OTHER_ZONE_WEIGHT = 0.02
+# capacity, while no flows have to leave.  With 0.02 fewer flows cross, but the few home
+# targets in the zone get all flows even if they are loaded, and more requests are late.
+OTHER_ZONE_WEIGHT = 0.1
+# Power of the expected free capacity by which a target is weighted.  Most of a target's
+# load stays from earlier flows, so that new flows have to differ more than the loads.
+FREE_CAPACITY_POWER = 3
 
 
 class SharedLoadPlacement(PlacementPolicy):
@@ -96,9 +99,7 @@
             occupied = 1.0 + load
             if now < target.warm_at:
                 occupied += COLD_COST
-            # Squared, so that a target with twice the free capacity gets four times
-            # the new flows: most of its load stays from earlier flows.
-            weight = 1.0 / (occupied * occupied)
+            weight = occupied**-FREE_CAPACITY_POWER
             total += weight if target.zone == zone else weight * other_weight
             sums.append(total)
         index = bisect(sums, self.random.random() * total, 0, len(sums) - 1)
--- a/src/balsamtide/flows/zone_share.py
+++ b/src/balsamtide/flows/zone_share.py
@@ -5,14 +5,17 @@
 # The zone's targets are busy for most of the time, so that the excess of a wave queues.
 CROWDED_BUSY_SHARE = 0.65
 # Difference between the busy shares of this zone and of the others at which flows start
-# to leave, and the one below which they return.  Means of a few targets differ by less
-# than the first one without a wave of demand.
+# to leave.  Means of a few targets differ by less without a wave of demand.
 LEAVE_DIFFERENCE = 0.1
-RETURN_DIFFERENCE = 0.03
-# Change of the share per second and difference, so that a wave that fills a zone sends
-# a third of the excess out within each second.  Reports are about a second old; a
-# higher gain would overshoot.
-GAIN_PER_S = 1.0
+# Difference at which as many flows have left as should.
+EVEN_DIFFERENCE = 0.03
+# Difference at which flows start to return: this zone has become less busy than the
+# others.  While a wave lasts, the flows that left keep the difference close to 0.
+RETURN_DIFFERENCE = -0.05
+# Change of the share per second and difference.  Flows that leave change the difference
+# by up to 0.7 of the share, which reports show 1 to 2 s later.  With twice this gain,
+# the share swings if loads are 2 s old.
+GAIN_PER_S = 0.5
 # Decrease of the share per second, of which one return takes several seconds.
 RETURN_PER_S = 0.2
 # Longest time that one update accounts for, for example after a suspension.
@@ -28,8 +31,8 @@
     """Controls the share of the new flows of a zone that leave it for one service.
 
     The share rises while the zone is crowded and the other zones have more free
-    capacity, and falls once the difference is small.  In between it stays the same, so
-    that the flows that left do not return because they left.
+    capacity, and falls once this zone is less busy than the others.  In between it
+    stays the same, so that the flows that left do not return because they left.
     """
 
     def __init__(self) -> None:
@@ -56,7 +59,7 @@
         elif difference < RETURN_DIFFERENCE:
             self.is_leaving = False
         if self.is_leaving:
-            gain = GAIN_PER_S * max(0.0, difference - RETURN_DIFFERENCE)
+            gain = GAIN_PER_S * max(0.0, difference - EVEN_DIFFERENCE)
             self.share = min(1.0, self.share + gain * elapsed_s)
         else:
             self.share = max(0.0, self.share - RETURN_PER_S * elapsed_s)
