--- a/bench/measures/even_load.py
+++ b/bench/measures/even_load.py
@@ -331,6 +331,32 @@
     return LOCAL_DELAY_S if zone == other else ZONE_DELAY_S
 
 
+class PeersByLoad(Interpreted):
+    """Today's placement with the product's choice of peers."""
+
+    def __init__(self, model: "Model") -> None:
+        super().__init__(model)
+        self.today = Today(model)
+
+    def choose(self, balancer: int, homes: Sequence[FlowTarget]) -> FlowTarget:
+        """Return today's choice."""
+        return self.today.choose(balancer, homes)
+
+    def taken(self, balancer: int, host: int, load: float) -> None:
+        """Record the load of the frame."""
+        self.today.taken(balancer, host, load)
+
+
+class PlacementByLoad(Interpreted):
+    """The product's placement with peers at random."""
+
+    def peer(
+        self, source: FlowTarget, demand: int, peers: Sequence[FlowTarget]
+    ) -> FlowTarget | None:
+        """Return a random peer."""
+        return self.random.choice(peers)
+
+
 class Model:
     """Plays one load through one policy.
 
@@ -593,6 +619,8 @@
     "least reported": LeastReported,
     "bounded hashing": BoundedHashing,
     "hot and cold": HotCold,
+    "peers by load": PeersByLoad,
+    "placement by load": PlacementByLoad,
     "interpreted": Interpreted,
     "perfect knowledge": PerfectKnowledge,
     "long-run knowledge": LongRunKnowledge,
--- a/src/balsamtide/flows/flow_balancer.py
+++ b/src/balsamtide/flows/flow_balancer.py
@@ -222,9 +222,9 @@
         targets = self.available_targets(service, now, without=excluded)
         return self._responsive(targets, now) or targets
 
-    def _responsive(
-        self, targets: Iterable[FlowTarget], now: float
-    ) -> list[FlowTarget]:
+    def _responsive(self, targets: list[FlowTarget], now: float) -> list[FlowTarget]:
+        if not self.suspects:
+            return targets
         return [t for t in targets if now >= self.suspects.get(t.host, now)]
 
     def _defer_or_refuse(self, packet: FlowPacket, now: float) -> list[Action]:
--- a/src/balsamtide/flows/load_table.py
+++ b/src/balsamtide/flows/load_table.py
@@ -168,8 +168,9 @@
 
     def record_present(self, host: int, load: float, now: float) -> None:
         """Record the requests per slot by a recent frame, or after a placement."""
-        entry = self._entry(host)
-        entry.present, entry.present_at = load, now
+        entry = self.loads.get(host) or self._entry(host)
+        entry.present = load
+        entry.present_at = now
 
     # Estimates
 
--- a/src/balsamtide/flows/shared_load_placement.py
+++ b/src/balsamtide/flows/shared_load_placement.py
@@ -73,6 +73,9 @@
         # Last choice by shared loads until it is recorded, and the load expected there.
         self.chosen: FlowTarget | None = None
         self.chosen_load = 0.0
+        # Hosts of targets that got flows by shared loads; the frames of other hosts
+        # count for small services.
+        self.shared_hosts: set[int] = set()
         # Placements since the metrics were last updated.
         self.placed_here = 0
         self.placed_elsewhere = 0
@@ -83,6 +86,7 @@
         """Return a candidate with a probability that follows its free capacity."""
         service = candidates[0].service
         if self.service_size(service) <= MAX_WITHOUT_RING:
+            self.chosen = None
             return self.small_services.choose(key, candidates, now)
         table = self.table
         if self.adjusted_at != table.summed_at:
@@ -111,6 +115,7 @@
         """Adjust the shares of flows that leave this zone to the new zone means."""
         self.adjusted_at = self.table.summed_at
         means = self.table.zone_means
+        self.shared_hosts.intersection_update(self.table.loads)
         for service in self.table.service_means:
             local = means.get((service, self.zone))
             others = [
@@ -153,6 +158,7 @@
             return
         load = self.chosen_load + 1 / target.capacity
         self.table.record_present(target.host, load, now)
+        self.shared_hosts.add(target.host)
         if target.zone == self.zone:
             self.placed_here += 1
         else:
@@ -161,8 +167,10 @@
 
     def record_load(self, host: int, load: float, now: float) -> None:
         """Record the present load of a target by a frame of its agent."""
-        self.small_services.record_load(host, load, now)
-        self.table.record_present(host, load, now)
+        if host in self.shared_hosts:
+            self.table.record_present(host, load, now)
+        else:
+            self.small_services.record_load(host, load, now)
 
     def describe(self, target: FlowTarget, now: float) -> dict[str, Any]:
         """Return the expected load of the target just chosen and its age."""
