--- a/src/balsamtide/flow_node/daemon.py
+++ b/src/balsamtide/flow_node/daemon.py
@@ -3,7 +3,7 @@
 import gc
 import sys
 from collections.abc import Callable
-from random import SystemRandom
+from random import Random, SystemRandom
 from time import process_time, sleep
 from typing import TYPE_CHECKING
 
@@ -34,9 +34,16 @@
 from balsamtide.transport.addresses import parse_ipv4
 
 if TYPE_CHECKING:
+    from balsamtide.flows.load_table import LoadTable
     from balsamtide.flows.warm_up import WarmUpLimiter
 
-__all__ = ["EXIT_SETTINGS", "FlowDaemon", "read_first_settings", "run_daemon"]
+__all__ = [
+    "EXIT_SETTINGS",
+    "FlowDaemon",
+    "make_load_table",
+    "read_first_settings",
+    "run_daemon",
+]
 
 EXIT_SETTINGS = 2
 # Longest time that the store may hold a watch; a dead connection is detected when a
@@ -121,24 +128,42 @@
             random=self.random,
             now=boot_time(),
         )
+        loads = make_load_table(settings, gossip, now=boot_time())
+        gossip.loads = loads
         if settings.agent is None:
-            return self._make_balancer(gossip)
-        return self._make_agent(gossip, settings.agent.service)
+            return self._make_balancer(gossip, loads)
+        return self._make_agent(gossip, settings.agent.service, loads)
 
     # Each role imports only its own modules, which saves time and memory.
 
-    def _make_balancer(self, gossip: ViewGossip) -> FlowRuntime:
+    def _make_balancer(
+        self, gossip: ViewGossip, loads: "LoadTable | None"
+    ) -> FlowRuntime:
         from balsamtide.flow_node.balancer_runtime import BalancerRuntime
         from balsamtide.flows.evacuation import ZoneEvacuation
         from balsamtide.flows.flow_balancer import FlowBalancer
-        from balsamtide.flows.placement import LeastLoadedPlacement
+        from balsamtide.flows.placement import LeastLoadedPlacement, PlacementPolicy
 
         settings, sink = self.settings, self.sink
+        placement: PlacementPolicy = LeastLoadedPlacement(
+            zone=settings.zone, random=self.random
+        )
+        if loads is not None:
+            from balsamtide.flows.shared_load_placement import SharedLoadPlacement
+
+            placement = SharedLoadPlacement(
+                zone=settings.zone,
+                table=loads,
+                service_size=lambda name: gossip.view.size(name),
+                small_services=placement,
+                random=Random(self.random.getrandbits(64)),
+                sink=sink,
+            )
         balancer = FlowBalancer(
             host=gossip.host,
             packets=WirePackets(),
             gossip=gossip,
-            placement=LeastLoadedPlacement(zone=settings.zone, random=self.random),
+            placement=placement,
             sink=sink,
             evacuation=ZoneEvacuation(
                 timeout_s=settings.evacuation_timeout_s, zone=settings.zone
@@ -152,21 +177,33 @@
             bind=self.binder.bind,
         )
 
-    def _make_agent(self, gossip: ViewGossip, service: str) -> FlowRuntime:
+    def _make_agent(
+        self, gossip: ViewGossip, service: str, loads: "LoadTable | None"
+    ) -> FlowRuntime:
         from balsamtide.flow_node.agent_runtime import AgentRuntime
         from balsamtide.flows.evacuation import ZoneEvacuation
         from balsamtide.flows.flow_agent import FlowAgent
         from balsamtide.flows.flow_queue import ObjectiveOrder
         from balsamtide.flows.rebalancing import MoveShareOfNewTargets
-        from balsamtide.flows.spillover import LoadSpillover
+        from balsamtide.flows.spillover import LoadSpillover, PeerChoice, RandomPeer
 
         settings, sink = self.settings, self.sink
+        peers: PeerChoice = RandomPeer(random=self.random)
+        if loads is not None:
+            from balsamtide.flows.shared_load_peers import SharedLoadPeer
+
+            peers = SharedLoadPeer(
+                table=loads,
+                service_size=lambda name: gossip.view.size(name),
+                small_services=peers,
+                random=Random(self.random.getrandbits(64)),
+            )
         agent = FlowAgent(
             host=gossip.host,
             service=service,
             packets=WirePackets(),
             gossip=gossip,
-            spillover=LoadSpillover(random=self.random),
+            spillover=LoadSpillover(random=self.random, peers=peers),
             rebalancing=MoveShareOfNewTargets(random=self.random),
             order=ObjectiveOrder(),
             sink=sink,
@@ -176,6 +213,7 @@
                 timeout_s=settings.evacuation_timeout_s, zone=settings.zone
             ),
             limiter=_make_limiter(settings.warm_up_limit),
+            loads=loads,
         )
         return AgentRuntime(
             processor=agent,
@@ -227,6 +265,21 @@
     return WarmUpLimiter(factor=limit.factor, margin=limit.margin, now=boot_time())
 
 
+def make_load_table(
+    settings: FlowSettings, gossip: ViewGossip, *, now: float
+) -> "LoadTable | None":
+    """Return the loads to share with peers, None in a deployment with one zone."""
+    if len(settings.zones) < 2:
+        return None
+    from balsamtide.flows.load_table import LoadTable
+
+    return LoadTable(
+        targets=lambda: gossip.view.by_host,
+        host=None if settings.agent is None else gossip.host,
+        now=now,
+    )
+
+
 def _import_libraries() -> None:
     """Import the modules that `FlowDaemon` needs after the startup loop, and trio."""
     import balsamtide.flow_node.http_client
--- a/src/balsamtide/flows/agent_state.py
+++ b/src/balsamtide/flows/agent_state.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 from math import inf
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from balsamtide.fleet.view import FlowTarget, WarmUp
 from balsamtide.fleet.view_gossip import ViewGossip
@@ -23,6 +23,10 @@
 )
 from balsamtide.telemetry.sink import Sink
 
+if TYPE_CHECKING:
+    # Loaded only by processes that share loads.
+    from balsamtide.flows.load_table import LoadTable
+
 __all__ = ["AgentState", "PendingHandshake", "ForwardedFlow"]
 
 # A target answers a SYN at once; allows several scheduling delays of a slow target.
@@ -95,6 +99,8 @@
         As for `FlowProcessor`.
     limiter : WarmUpLimiter or None
         Limits the SYNs that the target gets while it is cold; None for no limit.
+    loads : LoadTable or None
+        Loads that are shared with other processes.
     """
 
     def __init__(
@@ -112,6 +118,7 @@
         now: float,
         evacuation: ZoneEvacuation | None = None,
         limiter: WarmUpLimiter | None = None,
+        loads: "LoadTable | None" = None,
     ) -> None:
         super().__init__(
             host=host,
@@ -123,6 +130,7 @@
         self.limiter = limiter
         self.spillover = spillover
         self.rebalancing = rebalancing
+        self.loads = loads
         # Agents whose targets were available at the last change of the view, None
         # before the first one.
         self.seen_hosts: frozenset[int] | None = None
@@ -270,6 +278,12 @@
                 TARGET_COLD, reason=reason, lasts_ms=round(warm_up.lasts_s * 1000)
             )
 
+    def _record_demand(self, now: float) -> None:
+        """Record a change of the demand for the mean that peers get."""
+        if self.loads is not None:
+            demand = len(self.flows.active) + len(self.queue)
+            self.loads.meter.update(demand, now)
+
     def _may_deliver(self, now: float) -> bool:
         """Whether a new flow is delivered now instead of queued.
 
--- a/src/balsamtide/flows/events.py
+++ b/src/balsamtide/flows/events.py
@@ -22,6 +22,7 @@
     "TARGET_SPEAKS",
     "ZONE_EVACUATED",
     "ZONE_RETURNS",
+    "ZONE_SPILLS",
 ]
 
 FLOW_FIELDS = {"flow": "client address and port, service address and port"}
@@ -31,6 +32,13 @@
     "age_ms": "milliseconds since a reader confirmed that revision as the newest",
 }
 
+# Only in services whose loads are shared between processes.
+LOAD_FIELDS = {
+    "load": "requests per slot expected at the chosen target before this flow",
+    "load_age_ms": "milliseconds since its agent measured the reported mean of that; "
+    "null if none is known",
+}
+
 FLOW_PLACED = Event(
     number=901,
     name="flow-placed",
@@ -44,6 +52,7 @@
         "candidates": "targets available for new flows",
         "tries": "targets tried before for this flow",
     }
+    | LOAD_FIELDS
     | VIEW_FIELDS,
 )
 FLOW_TAKEN = Event(
@@ -80,6 +89,7 @@
         "suspended: the agent was suspended and waits for a confirmed view; cold: the "
         "target takes no more new flows in this second",
     }
+    | LOAD_FIELDS
     | VIEW_FIELDS,
 )
 FLOW_REFUSED = Event(
@@ -240,3 +250,18 @@
         "lasts_ms": "milliseconds for which it is assumed to be cold",
     },
 )
+ZONE_SPILLS = Event(
+    number=917,
+    name="zone-spills",
+    level=Level.INFO,
+    meaning="The share of a zone's new flows that leave it starts to rise or to fall.",
+    action="If the share stays high, add targets in this zone.",
+    fields={
+        "service": "service of the flows",
+        "is_leaving": "whether the share rises",
+        "share": "present share, 0 to 1",
+        "local_load": "mean requests per slot at the targets of this zone",
+        "other_load": "mean requests per slot at the targets of the other zones",
+        "age_ms": "mean age of the loads, in milliseconds",
+    },
+)
--- a/src/balsamtide/flows/flow_balancer.py
+++ b/src/balsamtide/flows/flow_balancer.py
@@ -208,6 +208,7 @@
         if not candidates:
             return self._defer_or_refuse(packet, service, now)
         target = self.placement.choose(key, candidates, now)
+        inputs = self.placement.describe(target, now)
         self.placement.record_placement(target, now)
         flow = CachedFlow(
             target.host, service_tag(service), now, client_isn=packet.sequence
@@ -226,6 +227,7 @@
             copies=packet.acknowledgement,
             candidates=len(candidates),
             tries=len(tried),
+            **inputs,
         )
         return [self._send_carry(packet, flow, elapsed_s=now - started_at)]
 
@@ -255,9 +257,9 @@
         targets = self.available_targets(service, now, without=excluded, key=key)
         return self._responsive(targets, now) or targets
 
-    def _responsive(
-        self, targets: Iterable[FlowTarget], now: float
-    ) -> list[FlowTarget]:
+    def _responsive(self, targets: list[FlowTarget], now: float) -> list[FlowTarget]:
+        if not self.suspects:
+            return targets
         return [t for t in targets if now >= self.suspects.get(t.host, now)]
 
     def _defer_or_refuse(
