Shorten the fall of an evacuated zone's share for late news

A process that was suspended or cut off learned of an evacuation so late that its share reached 0 after the bound. The model of evacuation found this.

--- a/src/balsamtide/flows/evacuation.py
+++ b/src/balsamtide/flows/evacuation.py
@@ -18,6 +18,10 @@
 # Part of the evacuation timeout in which the share falls to 0.  The rest is for the
 # way of the evacuation from the store to this process.
 FALL_RATIO = 0.2
+# Part of the timeout after which the share is 0, counted from the latest time at which
+# the zone was known not to be evacuated.  A process that was suspended or cut off
+# learns of an evacuation so late that a fall from then on would exceed the timeout.
+LATEST_RATIO = 0.8
 # Time in which the share returns to 1 for services whose targets need no warm-up:
 # several objectives, so that loads are reported before the next step.
 RETURN_S = 2.0
@@ -84,21 +88,35 @@
         self.zone = zone
         # Zones of the latest view, None before the first one.
         self.zones: frozenset[str] | None = None
+        # Local time at which those zones were confirmed as the evacuated ones.
+        self.confirmed_at = -inf
         # Zones whose share is below 1.
         self.phases: dict[str, ZonePhase] = {}
 
-    def update(self, view: FleetView, now: float) -> list[ZoneChange]:
+    def update(
+        self, view: FleetView, now: float, *, confirmed_at: float
+    ) -> list[ZoneChange]:
         """Record the zones of a view; return what has changed.
 
         Zones that are evacuated in the first view have no share from the beginning.
+
+        Parameters
+        ----------
+        view : FleetView
+            The view in force.
+        now : float
+            Local time in seconds.
+        confirmed_at : float
+            Local time at which a reader confirmed that view as the newest.
         """
         if view.revision < 0:
             return []
         before, self.zones = self.zones, view.evacuated_zones
+        known_at, self.confirmed_at = self.confirmed_at, confirmed_at
         self._remove_returned(view, now)
         if before == self.zones:
             return []
-        began_at = -inf if before is None else now
+        fall_at = self._fall_starts_at(known_at, now) if before is not None else -inf
         changes = [ZoneChange(zone, True) for zone in self.zones - (before or set())]
         changes += [ZoneChange(zone, False) for zone in (before or set()) - self.zones]
         for change in changes:
@@ -107,10 +125,25 @@
                 for service in view.configuration.services
             }
             self.phases[change.zone] = ZonePhase(
-                is_evacuated=change.is_evacuated, began_at=began_at, shares=shares
+                is_evacuated=change.is_evacuated,
+                began_at=fall_at if change.is_evacuated else now,
+                shares=shares,
             )
         return sorted(changes, key=_changed_zone)
 
+    def _fall_starts_at(self, known_at: float, now: float) -> float:
+        """Return when the fall of a share starts, in the past if it must end earlier.
+
+        Parameters
+        ----------
+        known_at : float
+            Latest local time at which the zone was known not to be evacuated.
+        now : float
+            Local time in seconds.
+        """
+        timeout_s = self.timeout_s or 0.0
+        return min(now, known_at + (LATEST_RATIO - FALL_RATIO) * timeout_s)
+
     def _remove_returned(self, view: FleetView, now: float) -> None:
         for zone, phase in list(self.phases.items()):
             if phase.is_evacuated:
--- a/src/balsamtide/flows/processor.py
+++ b/src/balsamtide/flows/processor.py
@@ -110,7 +110,9 @@
 
     def update_zones(self, now: float) -> None:
         """Record the evacuated zones of the view, and report changes."""
-        for change in self.evacuation.update(self.view, now):
+        confirmed_at = self.gossip.confirmed_at
+        changes = self.evacuation.update(self.view, now, confirmed_at=confirmed_at)
+        for change in changes:
             event = ZONE_EVACUATED if change.is_evacuated else ZONE_RETURNS
             age_s = self.gossip.age(now)
             self.sink.event(
--- a/tests/test_flow_evacuation.py
+++ b/tests/test_flow_evacuation.py
@@ -64,6 +64,11 @@
     process.update_zones(now)
 
 
+def update(evacuation, view, now, age_s=0.0):
+    """Show an evacuation a view that was confirmed some time ago."""
+    return evacuation.update(view, now, confirmed_at=now - age_s)
+
+
 def placed(balancer, now, ports=range(1024, 1324)):
     """Return the hosts to which the SYNs of new flows are sent."""
     actions = [a for p in ports for a in balancer.receive_packet(syn_packet(p), now)]
@@ -86,18 +91,29 @@
 def test_share_falls_within_a_fifth_of_the_bound(timeout_s, elapsed_s, share):
     """A zone that still took flows later would break the bound of slow processes."""
     evacuation = ZoneEvacuation(timeout_s=timeout_s)
-    evacuation.update(OPEN, NOW - 60)
-    evacuation.update(EVACUATED, NOW)
+    update(evacuation, OPEN, NOW - 1)
+    update(evacuation, EVACUATED, NOW)
     now = NOW + elapsed_s
     assert evacuation.share("a", "orders", EVACUATED, now) == pytest.approx(share)
     assert evacuation.share("b", "orders", EVACUATED, now) == 1.0
 
 
+@pytest.mark.parametrize(
+    ("unknown_s", "share"), [(1.0, 1.0), (3.5, 0.5), (4.0, 0.0), (60.0, 0.0)]
+)
+def test_late_news_of_an_evacuation_shortens_the_fall(unknown_s, share):
+    """A process that was suspended or cut off may learn when the bound is over."""
+    evacuation = ZoneEvacuation(timeout_s=TIMEOUT_S)
+    update(evacuation, OPEN, NOW - unknown_s)
+    update(evacuation, EVACUATED, NOW)
+    assert evacuation.share("a", "orders", EVACUATED, NOW) == pytest.approx(share)
+
+
 def test_first_view_with_an_evacuation_closes_the_zone():
     """A process that starts during an evacuation must not let the share fall anew."""
     evacuation = ZoneEvacuation(timeout_s=TIMEOUT_S)
-    assert evacuation.update(FleetView(), NOW) == []
-    evacuation.update(EVACUATED, NOW)
+    assert update(evacuation, FleetView(), NOW) == []
+    update(evacuation, EVACUATED, NOW)
     assert evacuation.share("a", "orders", EVACUATED, NOW) == 0.0
 
 
@@ -111,26 +127,26 @@
     configuration = replace(OPEN.configuration, warm_ups=warm_ups)
     view = replace(OPEN, configuration=configuration, revision=12)
     evacuation = ZoneEvacuation(timeout_s=TIMEOUT_S)
-    evacuation.update(EVACUATED, NOW - 60)
-    evacuation.update(view, NOW)
+    update(evacuation, EVACUATED, NOW - 60)
+    update(evacuation, view, NOW)
     shares = [
         evacuation.share("a", "orders", view, NOW + part * lasts_s)
         for part in (0.0, 0.25, 1.0)
     ]
     assert shares == pytest.approx([0.0, 0.25, 1.0])
-    evacuation.update(view, NOW + lasts_s)
+    update(evacuation, view, NOW + lasts_s)
     assert not evacuation.phases
 
 
 def test_share_has_no_step_when_the_operator_changes_his_mind():
     """A zone that is evacuated while it returns must not get all flows first."""
     evacuation = ZoneEvacuation(timeout_s=TIMEOUT_S)
-    evacuation.update(EVACUATED, NOW - 60)
-    evacuation.update(OPEN, NOW)
-    evacuation.update(EVACUATED, NOW + RETURN_S / 4)
+    update(evacuation, EVACUATED, NOW - 60)
+    update(evacuation, OPEN, NOW)
+    update(evacuation, EVACUATED, NOW + RETURN_S / 4)
     now = NOW + RETURN_S / 4
     assert evacuation.share("a", "orders", EVACUATED, now) == pytest.approx(0.25)
-    evacuation.update(OPEN, now + FALL_S / 10)
+    update(evacuation, OPEN, now + FALL_S / 10)
     share = evacuation.share("a", "orders", OPEN, now + FALL_S / 10)
     assert share == pytest.approx(0.15)
 
@@ -138,8 +154,8 @@
 def test_processes_agree_about_the_order_of_flows():
     """The flows of a lower share are among those of a higher one, about as many."""
     evacuation = ZoneEvacuation(timeout_s=TIMEOUT_S)
-    evacuation.update(OPEN, NOW - 60)
-    evacuation.update(EVACUATED, NOW)
+    update(evacuation, OPEN, NOW - 1)
+    update(evacuation, EVACUATED, NOW)
     target = ZONED[0]
     keys = [key_of(port) for port in range(1024, 3024)]
     admitted = [
