--- a/bench/standins/flow_world.py
+++ b/bench/standins/flow_world.py
@@ -4,7 +4,8 @@
 and the targets are simulated.  Everything follows from a seed.
 """
 
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
 from itertools import count
@@ -19,6 +20,7 @@
     TargetState,
 )
 from balsamtide.fleet.view_gossip import ViewGossip
+from balsamtide.flows.fair_share import FairShareOrder
 from balsamtide.flows.flow_agent import FlowAgent
 from balsamtide.flows.flow_balancer import FlowBalancer
 from balsamtide.flows.flow_queue import ObjectiveOrder, QueueOrder
@@ -38,8 +40,16 @@
 )
 from balsamtide.protocol.flow_actions import Action, SendFrame, ToClient, ToTarget
 from balsamtide.telemetry.memory_sink import MemorySink
+from balsamtide.telemetry.sink import Sink
 
-__all__ = ["FlowWorld", "Request", "ServedShare", "Target", "WorldOptions"]
+__all__ = [
+    "FlowWorld",
+    "Request",
+    "RequestKind",
+    "ServedShare",
+    "Target",
+    "WorldOptions",
+]
 
 SERVICE = "orders"
 SERVICE_ADDRESS = (0xC6120001, 8443)
@@ -63,6 +73,39 @@
 START = 1000.0
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RequestKind:
+    """A kind of request with its own route.
+
+    Parameters
+    ----------
+    name : str
+        Name of the route.
+    rate : float
+        Requests per second.
+    work_s, objective_s, timeout_s : float
+        As in `WorldOptions`.
+    priority : int
+        Priority of the route.
+    request_packets : int
+        As in `WorldOptions`.
+    flows : int
+        Long-lived flows that carry the requests; 0 for one flow each.
+    requests_per_flow : int
+        Requests after which a long-lived flow is replaced.
+    """
+
+    name: str
+    rate: float
+    work_s: float
+    objective_s: float
+    timeout_s: float
+    priority: int
+    request_packets: int = 1
+    flows: int = 0
+    requests_per_flow: int = 50
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class WorldOptions:
     """What a world is made of.
@@ -89,6 +132,18 @@
         Share of opening packets of which a copy arrives late, at any balancer.
     seed : int
         Of everything random.
+    kinds : tuple of RequestKind
+        Kinds of requests, each with its own route; empty for one kind by the
+        attributes above.
+    zones : int
+        Availability zones, over which processes and clients are spread.
+    zone_delay_s : float
+        Additional delay of frames between zones.
+    retry_delay_s : float
+        Longest time that a client waits before a further try; the time is uniformly
+        distributed.
+    reset_spread_s : float
+        Longest additional delay of resets of flows that were not opened.
     """
 
     balancers: int = 4
@@ -103,6 +158,11 @@
     loss: float = 0.0
     late_copies: float = 0.0
     seed: int = 1
+    kinds: tuple[RequestKind, ...] = ()
+    zones: int = 1
+    zone_delay_s: float = 0.0
+    retry_delay_s: float = 0.0
+    reset_spread_s: float = 0.0
 
 
 @dataclass(slots=True)
@@ -129,10 +189,29 @@
         How often a target began to work on it.
     resets : int
         Resets of the fleet's own that came while the flow was open.
+    kind : RequestKind
+        Its kind.
+    zone : int
+        Availability zone of the client.
+    sequence : int
+        Sequence number of its first octet.
+    acknowledgement : int
+        What its packets acknowledge.
+    uses : int
+        Requests that its flow has carried before.
+    refusals, rejections : int
+        Resets by the fleet before the flow was open, and by targets.
     """
 
     began_at: float
     work_s: float
+    kind: RequestKind
+    zone: int = 0
+    sequence: int = 0
+    acknowledgement: int = 0
+    uses: int = 0
+    refusals: int = 0
+    rejections: int = 0
     port: int = 0
     tries: int = 0
     accepted: int | None = None
@@ -186,6 +265,8 @@
         Makes the policy of an agent.
     order : QueueOrder or None
         Order of waiting openings.
+    fair_share : callable or None
+        Makes the fair shares of an agent, which replace ``order``.
     rebalancing : callable or None
         Makes the policy of an agent for targets that are added.
     """
@@ -197,9 +278,24 @@
         placement: Callable[[Random], PlacementPolicy] | None = None,
         spillover: Callable[[Random], SpilloverPolicy] | None = None,
         order: QueueOrder | None = None,
+        fair_share: Callable[[Sink], FairShareOrder] | None = None,
         rebalancing: Callable[[Random], QueueRebalancing] | None = None,
     ) -> None:
         self.options = options
+        self.kinds = options.kinds or (
+            RequestKind(
+                name="r",
+                rate=0.0,
+                work_s=options.work_s,
+                objective_s=options.objective_s,
+                timeout_s=options.timeout_s,
+                priority=1,
+                request_packets=options.request_packets,
+            ),
+        )
+        # Open flows without a request, as the last request on them, by kind and zone.
+        self.idle: dict[tuple[str, int], list[Request]] = {}
+        self.open_flows: Counter[tuple[str, int]] = Counter()
         self.random = Random(options.seed)
         # Apart, so that policies are compared under the same load.
         self.load_random = Random(options.seed)
@@ -215,11 +311,10 @@
             FIRST_AGENT + n: Target(FIRST_AGENT + n) for n in range(options.targets)
         }
         self.view = self._make_view()
-        make_placement = placement or (
-            lambda random: LeastLoadedPlacement(zone="z", random=random)
-        )
+        make_placement = placement
         self.make_spillover = spillover or (lambda random: LoadSpillover(random=random))
         self.order = order or ObjectiveOrder()
+        self.fair_share = fair_share
         self.make_rebalancing = rebalancing or (
             lambda random: MoveShareOfNewTargets(random=random)
         )
@@ -235,20 +330,23 @@
 
     def _make_view(self) -> FleetView:
         options = self.options
-        route = FlowRoute(
-            name="r",
-            shares=((SERVICE, 1),),
-            timeout_s=options.timeout_s,
-            objective_s=options.objective_s,
-            priority=1,
-        )
+        routes = {
+            self.address(kind): FlowRoute(
+                name=kind.name,
+                shares=((SERVICE, 1),),
+                timeout_s=kind.timeout_s,
+                objective_s=kind.objective_s,
+                priority=kind.priority,
+            )
+            for kind in self.kinds
+        }
         targets = {
             f"i-{host:08x}": FlowTarget(
                 name=f"i-{host:08x}",
                 service=SERVICE,
                 host=host,
                 port=80,
-                zone="z",
+                zone=self.zone_name(host),
                 capacity=options.capacity,
                 state=TargetState.READY,
             )
@@ -256,12 +354,24 @@
         }
         configuration = FlowConfiguration(
             version=1,
-            routes={SERVICE_ADDRESS: route},
+            routes=routes,
             services=frozenset({SERVICE}),
             idle_timeout_s=15.0,
         )
         return FleetView(revision=1, configuration=configuration, targets=targets)
 
+    def address(self, kind: RequestKind) -> tuple[int, int]:
+        """Return the service address of a kind of request."""
+        return SERVICE_ADDRESS[0], SERVICE_ADDRESS[1] + self.kinds.index(kind)
+
+    def zone(self, host: int) -> int:
+        """Return the number of a process's availability zone."""
+        return host % self.options.zones
+
+    def zone_name(self, host: int) -> str:
+        """Return the name of a process's availability zone."""
+        return f"z{self.zone(host)}" if self.options.zones > 1 else "z"
+
     def _make_gossip(self, host: int) -> ViewGossip:
         gossip = ViewGossip(host=host, seeds=(), random=self.random, now=self.now)
         gossip.view = self.view
@@ -271,14 +381,16 @@
         return gossip
 
     def _make_balancer(
-        self, host: int, placement: Callable[[Random], PlacementPolicy]
+        self, host: int, placement: Callable[[Random], PlacementPolicy] | None
     ) -> FlowBalancer:
+        default = LeastLoadedPlacement(zone=self.zone_name(host), random=self.random)
         return FlowBalancer(
             host=host,
             packets=self.packets,
             gossip=self._make_gossip(host),
-            placement=placement(self.random),
+            placement=placement(self.random) if placement else default,
             sink=self.sink,
+            client_zone=self.zone(host) + 1 if self.options.zones > 1 else 0,
         )
 
     def make_agent(self, host: int) -> FlowAgent:
@@ -294,6 +406,7 @@
             sink=self.sink,
             flow_lifetime_s=60.0,
             now=self.now,
+            fair_share=self.fair_share(self.sink) if self.fair_share else None,
         )
 
     def restart_balancer(self, host: int) -> None:
@@ -348,7 +461,10 @@
                 self._target_receives(self.targets[host], packet)
             elif isinstance(action, ToClient) and not self._is_lost():
                 packet = self.packets.decode(action.packet)
-                self.after(CLIENT_DELAY_S, lambda p=packet: self._client_receives(p))
+                delay_s = CLIENT_DELAY_S
+                if packet.is_reset and self.options.reset_spread_s:
+                    delay_s += self.random.uniform(0.0, self.options.reset_spread_s)
+                self.after(delay_s, lambda p=packet: self._client_receives(p))
 
     def _send_frame(self, source: int, action: SendFrame) -> None:
         def arrive() -> None:
@@ -359,14 +475,23 @@
                 )
 
         if not self._is_lost():
-            self.after(INNER_DELAY_S, arrive)
+            is_in_zone = self.zone(source) == self.zone(action.host)
+            delay_s = 0.0 if is_in_zone else self.options.zone_delay_s
+            self.after(INNER_DELAY_S + delay_s, arrive)
 
     def _route(self, packet: bytes) -> None:
         """Hand a client's packet to the balancer that the routers choose."""
-        live = [host for host in self.balancers if host not in self.down]
+        decoded = self.packets.decode(packet)
+        request = self.requests.get(decoded.source[1])
+        zone = request.zone if request else 0
+        live = [
+            host
+            for host in self.balancers
+            if host not in self.down and self.zone(host) == zone
+        ]
         if not live or self._is_lost():
             return
-        key = self.packets.decode(packet).client_key
+        key = decoded.client_key
         host = max(live, key=lambda host: crc32(host.to_bytes(4, "big") + key))
         self._hand_to(host, packet)
 
@@ -383,23 +508,64 @@
 
     # Clients
 
-    def request(self, work_s: float | None = None) -> Request:
-        """Begin a request now."""
-        mean = self.options.work_s
-        request = Request(self.now, work_s or self.load_random.expovariate(1 / mean))
-        self._try(request)
-        self.after(self.options.timeout_s, lambda: self._end(request))
+    def request(
+        self,
+        work_s: float | None = None,
+        *,
+        kind: RequestKind | None = None,
+        zone: int = 0,
+    ) -> Request:
+        """Begin a request now, on an open flow if its kind has one that is idle."""
+        kind = kind or self.kinds[0]
+        work_s = work_s or self.load_random.expovariate(1 / kind.work_s)
+        request = Request(self.now, work_s, kind, zone)
+        idle = self.idle.get((kind.name, zone), [])
+        if idle and self.open_flows[kind.name, zone] >= kind.flows / self.options.zones:
+            # A client has its own flow, so that any of them may be used next.
+            index = self.load_random.randrange(len(idle))
+            idle[index], idle[-1] = idle[-1], idle[index]
+            self._use_flow(request, idle.pop())
+        else:
+            self._try(request)
+        self.after(kind.timeout_s, lambda: self._end(request))
         return request
 
+    def _use_flow(self, request: Request, last: Request) -> None:
+        """Send a request on the open flow of an earlier one."""
+        request.tries = 1
+        request.port, request.accepted = last.port, last.accepted
+        request.uses = last.uses + 1
+        request.sequence = last.sequence + REQUEST_BYTES
+        request.acknowledgement = last.acknowledgement + ANSWER_BYTES
+        self.requests[request.port] = request
+        self._send_request(request, request.port, RETRANSMIT_S)
+
+    def _release_flow(self, request: Request) -> None:
+        """Keep the flow of an answered request, or replace it after many requests."""
+        kind, place = request.kind, (request.kind.name, request.zone)
+        if kind.flows and request.uses + 1 < kind.requests_per_flow:
+            self.idle.setdefault(place, []).append(request)
+        elif kind.flows:
+            self.open_flows[place] -= 1
+
     def _end(self, request: Request) -> None:
         if not request.is_over:
             request.is_over = True
             self.finished.append(request)
+            if request.answered_at is None:
+                self._lose_flow(request)
+
+    def _lose_flow(self, request: Request) -> None:
+        if request.kind.flows and request.accepted is not None:
+            self.open_flows[request.kind.name, request.zone] -= 1
+        request.accepted = None
 
     def _try(self, request: Request) -> None:
         request.tries += 1
         request.port = next(self.ports)
         request.accepted = None
+        request.uses = 0
+        request.sequence = request.port * 1000 + 1
         self.requests[request.port] = request
         port = request.port
         self._send_opening(request, port, 0)
@@ -409,7 +575,8 @@
 
     def _send_opening(self, request: Request, port: int, copy: int) -> None:
         if request.port == port and request.accepted is None and not request.is_over:
-            packet = self.packet(port, SYN, port * 1000, copy)
+            address = self.address(request.kind)
+            packet = self.packet(port, SYN, port * 1000, copy, address=address)
             self._route(packet)
             if self.random.random() < self.options.late_copies:
                 delay_s = self.random.uniform(0.0, LONGEST_LATENESS_S)
@@ -424,11 +591,22 @@
             return
         if request.tries > self.options.retries:
             self._end(request)
+        elif self.options.retry_delay_s:
+            request.port = 0
+            delay_s = self.random.uniform(0.0, self.options.retry_delay_s)
+            self.after(delay_s, lambda: request.is_over or self._try(request))
         else:
             self._try(request)
 
     def packet(
-        self, port: int, flags: int, sequence: int, acknowledgement: int, data: int = 0
+        self,
+        port: int,
+        flags: int,
+        sequence: int,
+        acknowledgement: int,
+        data: int = 0,
+        *,
+        address: tuple[int, int] = SERVICE_ADDRESS,
     ) -> bytes:
         """Return a packet of the client with this port."""
         head = HEADER.pack(
@@ -436,9 +614,9 @@
             1,
             flags,
             FIRST_CLIENT,
-            SERVICE_ADDRESS[1],
+            address[1],
             port,
-            SERVICE_ADDRESS[0],
+            address[0],
             data,
             sequence,
             acknowledgement,
@@ -455,10 +633,13 @@
         elif packet.is_syn:
             if request.accepted is None:
                 request.accepted = packet.sequence
+                request.acknowledgement = packet.sequence + 1
+                self.open_flows[request.kind.name, request.zone] += 1
                 self._send_request(request, request.port, RETRANSMIT_S)
-        elif packet.length and request.accepted is not None:
+        elif packet.length and packet.sequence == request.acknowledgement:
             request.answered_at = self.now
             self._end(request)
+            self._release_flow(request)
 
     def _take_reset(self, request: Request, packet: FlowPacket) -> None:
         if request.accepted is not None:
@@ -467,17 +648,27 @@
                 return
             # Resets of the fleet's own have no sum.
             request.resets += packet.raw[SUM] == bytes(4)
+            request.rejections += packet.raw[SUM] != bytes(4)
+            self._lose_flow(request)
+        else:
+            request.refusals += 1
         self._retry(request)
 
     def _send_request(self, request: Request, port: int, wait_s: float) -> None:
         if request.port != port or request.is_over or request.accepted is None:
             return
-        acknowledgement = request.accepted + 1
-        sequence = port * 1000 + 1
-        parts = self.options.request_packets
+        sequence = request.sequence
+        parts = request.kind.request_packets
         for part in range(parts):
             size = REQUEST_BYTES if part == parts - 1 else MAX_DATA_BYTES
-            packet = self.packet(port, ACK, sequence, acknowledgement, size)
+            packet = self.packet(
+                port,
+                ACK,
+                sequence,
+                request.acknowledgement,
+                size,
+                address=self.address(request.kind),
+            )
             self.after(part * PACKET_GAP_S, lambda packet=packet: self._route(packet))
             sequence += size
         wait_s += parts * PACKET_GAP_S
@@ -493,42 +684,54 @@
             target.openings += 1
             sequence = target.flows.setdefault(client, self.random.getrandbits(31))
             self._target_sends(target, packet, SYN | ACK, sequence, 0)
-        elif target.flows.get(client, -1) + 1 != packet.acknowledgement:
+        elif not self._is_known(target, packet):
             returned = bytearray(packet.raw)
             returned[8] |= RETURNED
             self._from_target(target, bytes(returned))
-        elif packet.length and client not in target.started:
-            parts = target.parts.setdefault(client, set())
+        elif packet.length:
+            request = self.requests[client[1]]
+            number = client[1], request.sequence
+            if packet.sequence < request.sequence or number in target.started:
+                return
+            parts = target.parts.setdefault(number, set())
             parts.add(packet.sequence)
-            if len(parts) == self.options.request_packets:
-                self._take_request(target, packet)
+            if len(parts) == request.kind.request_packets:
+                target.started.add(number)
+                self._take_request(target, request, packet)
+
+    def _is_known(self, target: Target, packet: FlowPacket) -> bool:
+        """Whether the target has the flow and has sent what a packet acknowledges."""
+        sent = packet.acknowledgement - target.flows.get(packet.source, 1 << 32) - 1
+        return sent >= 0 and sent % ANSWER_BYTES == 0
 
-    def _take_request(self, target: Target, packet: FlowPacket) -> None:
-        request = self.requests[packet.source[1]]
+    def _take_request(
+        self, target: Target, request: Request, packet: FlowPacket
+    ) -> None:
         options = self.options
         if target.running < options.capacity:
             self._run(target, request, packet)
         elif len(target.queue) < options.server_queue:
-            target.started.add(packet.source)
             target.queue.append((request, packet))
         else:
             # A target that rejects a request says so and closes the flow.
-            target.started.add(packet.source)
             self._target_sends(target, packet, RESET, packet.acknowledgement, 0)
 
     def _run(self, target: Target, request: Request, packet: FlowPacket) -> None:
-        target.started.add(packet.source)
         target.running += 1
         request.runs += 1
         work_s = request.work_s * target.slowness
-        self.after(work_s, lambda: self._answer(target, packet))
+        self.after(work_s, lambda: self._answer(target, request, packet))
 
-    def _answer(self, target: Target, packet: FlowPacket) -> None:
+    def _answer(self, target: Target, request: Request, packet: FlowPacket) -> None:
         target.running -= 1
         if target.is_silent:
             return
         self._target_sends(
-            target, packet, ACK | FIN, packet.acknowledgement, ANSWER_BYTES
+            target,
+            packet,
+            ACK if request.kind.flows else ACK | FIN,
+            packet.acknowledgement,
+            ANSWER_BYTES,
         )
         if target.queue:
             self._run(target, *target.queue.pop(0))
@@ -567,14 +770,57 @@
             work_s = self.load_random.expovariate(1 / self.options.work_s)
             self.at(time, lambda work_s=work_s: self.request(work_s))
 
-    def served(self, begin: float, end: float) -> ServedShare:
+    def offer_kind(
+        self,
+        kind: RequestKind,
+        begin: float,
+        end: float,
+        *,
+        factor: float = 1.0,
+        zone_weights: Sequence[float] = (),
+    ) -> None:
+        """Begin requests of a kind at a multiple of its rate.
+
+        The zones of the clients are chosen by weight, or alike without weights.
+        """
+        zones = range(self.options.zones)
+        time = begin
+        while True:
+            time += self.load_random.expovariate(kind.rate * factor)
+            if time >= end:
+                return
+            work_s = self.load_random.expovariate(1 / kind.work_s)
+            (zone,) = self.load_random.choices(zones, zone_weights or None)
+            self.at(
+                time,
+                lambda work_s=work_s, zone=zone: self.request(
+                    work_s, kind=kind, zone=zone
+                ),
+            )
+
+    def asked(
+        self, begin: float, end: float, *, kind: str = "", zone: int | None = None
+    ) -> list[Request]:
+        """Return the finished requests that began in a time."""
+        return [
+            request
+            for request in self.finished
+            if begin <= request.began_at < end
+            and kind in ("", request.kind.name)
+            and zone in (None, request.zone)
+        ]
+
+    def served(
+        self, begin: float, end: float, *, kind: str = "", zone: int | None = None
+    ) -> ServedShare:
         """Return how the requests that began in a time ended."""
-        asked = [r for r in self.finished if begin <= r.began_at < end]
+        asked = self.asked(begin, end, kind=kind, zone=zone)
         if not asked:
             return ServedShare(0.0, 0.0, 0.0)
-        objective_s = self.options.objective_s
-        answered = [r.answered_at - r.began_at for r in asked if r.answered_at]
-        in_objective = sum(1 for took_s in answered if took_s <= objective_s)
+        answered = [r for r in asked if r.answered_at is not None]
+        in_objective = sum(
+            1 for r in answered if r.answered_at - r.began_at <= r.kind.objective_s
+        )
         return ServedShare(
             in_objective / len(asked),
             (len(answered) - in_objective) / len(asked),
--- a/src/balsamtide/flow_node/daemon.py
+++ b/src/balsamtide/flow_node/daemon.py
@@ -117,12 +117,16 @@
         from balsamtide.flows.placement import LeastLoadedPlacement
 
         settings, sink = self.settings, self.sink
+        zones = settings.zones
         balancer = FlowBalancer(
             host=gossip.host,
             packets=WirePackets(),
             gossip=gossip,
             placement=LeastLoadedPlacement(zone=settings.zone, random=self.random),
             sink=sink,
+            client_zone=(
+                zones.index(settings.zone) + 1 if settings.zone in zones else 0
+            ),
         )
         return BalancerRuntime(
             processor=balancer,
@@ -134,6 +138,7 @@
 
     def _make_agent(self, gossip: ViewGossip, service: str) -> FlowRuntime:
         from balsamtide.flow_node.agent_runtime import AgentRuntime
+        from balsamtide.flows.fair_share import FairShareOrder
         from balsamtide.flows.flow_agent import FlowAgent
         from balsamtide.flows.flow_queue import ObjectiveOrder
         from balsamtide.flows.rebalancing import MoveShareOfNewTargets
@@ -151,6 +156,7 @@
             sink=sink,
             flow_lifetime_s=settings.flow_lifetime_s,
             now=boot_time(),
+            fair_share=FairShareOrder(sink=sink, zones=settings.zones),
         )
         return AgentRuntime(
             processor=agent,
--- a/src/balsamtide/flows/agent_state.py
+++ b/src/balsamtide/flows/agent_state.py
@@ -6,10 +6,11 @@
 
 from balsamtide.fleet.view import FlowTarget
 from balsamtide.fleet.view_gossip import ViewGossip
-from balsamtide.flows.flow_queue import FlowQueue, QueueOrder
+from balsamtide.flows.fair_share import FairShareOrder
+from balsamtide.flows.flow_queue import FlowClass, FlowQueue, QueueOrder
 from balsamtide.flows.local_flows import LocalFlow, LocalFlows
 from balsamtide.flows.metrics import PACKETS
-from balsamtide.flows.packet import PacketCodec
+from balsamtide.flows.packet import PacketCodec, service_address
 from balsamtide.flows.processor import FlowProcessor
 from balsamtide.flows.rebalancing import QueueRebalancing
 from balsamtide.flows.spillover import SpilloverPolicy
@@ -80,6 +81,8 @@
         Longest lifetime of a flow, in seconds.
     now : float
         Local time of the start, in seconds.
+    fair_share : FairShareOrder or None
+        Shares the target's time among classes of callers; it replaces ``order``.
     """
 
     def __init__(
@@ -95,6 +98,7 @@
         sink: Sink,
         flow_lifetime_s: float,
         now: float,
+        fair_share: FairShareOrder | None = None,
     ) -> None:
         super().__init__(host=host, packets=packets, gossip=gossip, sink=sink)
         self.spillover = spillover
@@ -106,7 +110,8 @@
         # At first the target may have flows older than this process.  Comparing the
         # start times of both would be wrong if the wall clock jumped in between.
         self.flows = LocalFlows(complete_at=now + flow_lifetime_s)
-        self.queue = FlowQueue(order=order)
+        self.queue = FlowQueue(order=fair_share or order)
+        self.fair_share = fair_share
         self.forwarded: dict[bytes, ForwardedFlow] = {}
         self.pending_handshakes: dict[bytes, PendingHandshake] = {}
         # Local time until which the target is known not to have a flow, by flow key.
@@ -184,6 +189,23 @@
         ]
         return INITIAL_SERVICE_TIME_RATIO * min(objectives, default=0.0)
 
+    def _enabled_fair_share(self) -> FairShareOrder | None:
+        """Return the fair shares if the configuration in force enables them."""
+        if self.fair_share is None:
+            return None
+        self.fair_share.configure(
+            self.view.configuration,
+            self.service,
+            capacity=self._capacity(),
+            service_time_s=self._service_time_s(),
+        )
+        return self.fair_share if self.fair_share.is_enabled else None
+
+    def _flow_class(self, flow: LocalFlow) -> FlowClass:
+        """Return the class of an open flow."""
+        route = self.view.route(service_address(flow.key))
+        return FlowClass(route.name if route else "", flow.client_zone)
+
     def _known_flow(self, key: bytes, now: float) -> LocalFlow | None:
         return self.flows.get(key, now, self.idle_timeout_s)
 
--- a/src/balsamtide/flows/events.py
+++ b/src/balsamtide/flows/events.py
@@ -4,6 +4,7 @@
 
 __all__ = [
     "AGENT_SILENT",
+    "FLOW_CLASS_DECIDED",
     "FLOW_ANSWERED",
     "FLOW_DISOWNED",
     "FLOW_DROPPED",
@@ -84,7 +85,14 @@
     meaning="A new flow was reset; its request has not run.",
     action="no-route: check the configured routes; no-target: check the service's "
     "targets; overload: check its load.",
-    fields=FLOW_FIELDS | {"reason": "no-route, no-target or overload"} | VIEW_FIELDS,
+    fields=FLOW_FIELDS
+    | {
+        "reason": "no-route; no-target; overload: it can't start in time, or the queue "
+        "is full; over-share: a flow of a class with a smaller share of the target's "
+        "time got its place in the queue; no-time: it was queued and can't start in "
+        "time anymore"
+    }
+    | VIEW_FIELDS,
 )
 FLOW_DROPPED = Event(
     number=905,
@@ -199,3 +207,22 @@
     }
     | VIEW_FIELDS,
 )
+FLOW_CLASS_DECIDED = Event(
+    number=927,
+    name="flow-class-decided",
+    level=Level.INFO,
+    meaning="An agent served or refused a queued flow by its class, which is the route "
+    "and the zone of the client.",
+    fields=FLOW_FIELDS
+    | {
+        "route": "route of the flow",
+        "zone": "availability zone of the client, or unknown",
+        "why": "minimum-share: its class had less than its minimum; in-objective, late: "
+        "it was next by objective, priority and deadline; over-share, no-time: it was "
+        "refused, see opening-refused",
+        "share": "share of the class of the time that the target served lately",
+        "minimum": "share that a class with queued flows keeps",
+        "classes": "classes that were served lately or have queued flows",
+    }
+    | VIEW_FIELDS,
+)
--- a/src/balsamtide/flows/flow_agent.py
+++ b/src/balsamtide/flows/flow_agent.py
@@ -119,6 +119,7 @@
         if packet.is_ack and not flow.acknowledges_target(packet.acknowledgement):
             return self._disown(packet, carry, DisownReason.OTHER_HANDSHAKE, now)
         flow.last_balancer = carry.origin
+        flow.client_zone = carry.client_zone
         self.flows.touch(flow, now)
         if flow.target_isn is not None:
             flow.is_open = True
@@ -135,8 +136,18 @@
         else:
             # The request is complete.  A FIN can't tell, since a client sends it
             # together with its last request.
+            if flow.request_received_at == 0.0:
+                self._charge_request(flow, now)
             self.flows.begin_request(flow, now)
 
+    def _charge_request(self, flow: LocalFlow, now: float) -> None:
+        """Charge a request to its class, unless it was charged with the SYN."""
+        fair_share = self._enabled_fair_share()
+        if fair_share is not None and not flow.is_charged:
+            flow_class = self._flow_class(flow)
+            fair_share.record_start(flow_class, now, is_on_open_flow=True)
+        flow.is_charged = False
+
     def _handle_unknown(
         self, packet: FlowPacket, carry: Carry, now: float
     ) -> list[Action]:
@@ -207,6 +218,8 @@
             # Packets of an answer may be reordered, so that the FIN arrives first.
             self._finish_request(flow, now)
         if packet.is_reset:
+            if self.fair_share is not None and flow.request_received_at > 0.0:
+                self.fair_share.record_rejection(self._flow_class(flow), now)
             self.flows.drop(key)
         if was_unconfirmed and flow.last_balancer:
             return [SendFrame(flow.last_balancer, Taken(key, self.load(now)))]
@@ -224,6 +237,9 @@
         if took_s is None:
             return
         self.sink.observe(ANSWER_SECONDS, took_s)
+        if self.fair_share is not None:
+            route = self._flow_class(flow).route
+            self.fair_share.record_end(route, took_s, now, busy_before=flow.busy_before)
         self.report(
             FLOW_ANSWERED,
             flow.key,
--- a/src/balsamtide/flows/flow_balancer.py
+++ b/src/balsamtide/flows/flow_balancer.py
@@ -94,6 +94,8 @@
         Chooses the target of a new flow.
     sink : Sink
         Receives events and metrics.
+    client_zone : int
+        Number of this availability zone in frames, from 1; 0 if it has none.
     """
 
     def __init__(
@@ -104,8 +106,15 @@
         gossip: ViewGossip,
         placement: PlacementPolicy,
         sink: Sink,
+        client_zone: int = 0,
     ) -> None:
-        super().__init__(host=host, packets=packets, gossip=gossip, sink=sink)
+        super().__init__(
+            host=host,
+            packets=packets,
+            gossip=gossip,
+            sink=sink,
+            client_zone=client_zone,
+        )
         self.placement = placement
         self.pending_flows: dict[bytes, PendingFlow] = {}
         self.confirmation = ConfirmationTimer()
--- a/src/balsamtide/flows/flow_queue.py
+++ b/src/balsamtide/flows/flow_queue.py
@@ -7,18 +7,45 @@
 """
 
 from abc import ABC, abstractmethod
+from collections.abc import Mapping
 from dataclasses import dataclass, replace
+from typing import NamedTuple
 
 from balsamtide.flows.packet import FlowPacket
 from balsamtide.protocol.flow_frames import Carry
 
-__all__ = ["ArrivalOrder", "ObjectiveOrder", "FlowQueue", "QueueOrder", "QueuedFlow"]
+__all__ = [
+    "ArrivalOrder",
+    "ObjectiveOrder",
+    "FlowClass",
+    "FlowQueue",
+    "QueueOrder",
+    "QueuedFlow",
+]
 
 # Bounds memory; at a few hundred requests a second per target, clients further back
 # would give up before they are served.
 MAX_QUEUED = 256
 
 
+class FlowClass(NamedTuple):
+    """Flows of one route from the clients of one availability zone.
+
+    Parameters
+    ----------
+    route : str
+        Name of the route, empty if it is unknown.
+    zone : int
+        Number of the zone in frames, 0 if it is unknown.
+    """
+
+    route: str
+    zone: int
+
+
+UNKNOWN_CLASS = FlowClass("", 0)
+
+
 @dataclass(slots=True)
 class QueuedFlow:
     """A new flow that waits for a free slot.
@@ -37,6 +64,8 @@
         Local time at which the client gives up.
     priority : int
         0 is the highest.
+    flow_class : FlowClass
+        Route, and zone of the client.
     """
 
     packet: FlowPacket
@@ -45,6 +74,7 @@
     start_by: float
     give_up_at: float
     priority: int
+    flow_class: FlowClass = UNKNOWN_CLASS
 
     def updated_carry(self, now: float) -> Carry:
         """Return the frame with the queueing time added to ``elapsed_s``."""
@@ -60,6 +90,14 @@
     def sort_key(self, queued: QueuedFlow, now: float) -> tuple[float, ...]:
         """Return the sort key; the flow with the lowest is delivered first."""
 
+    def choose_next(self, entries: Mapping[bytes, QueuedFlow], now: float) -> bytes:
+        """Return the flow to deliver next, of at least one."""
+        return min(entries, key=lambda key: self.sort_key(entries[key], now))
+
+    def choose_last(self, entries: Mapping[bytes, QueuedFlow], now: float) -> bytes:
+        """Return the flow that would be delivered last, of at least one."""
+        return max(entries, key=lambda key: self.sort_key(entries[key], now))
+
 
 class ArrivalOrder(QueueOrder):
     """First in, first out, for comparison in tests and benchmarks."""
@@ -116,9 +154,7 @@
         """Remove and return the flow to deliver next."""
         if not self.entries:
             return None
-        order = self.order
-        key = min(self.entries, key=lambda key: order.sort_key(self.entries[key], now))
-        return self.entries.pop(key)
+        return self.entries.pop(self.order.choose_next(self.entries, now))
 
     def pop_last(self, now: float) -> QueuedFlow:
         """Remove and return the flow that would be delivered last.
@@ -130,9 +166,7 @@
         """
         if not self.entries:
             raise IndexError("no flow is queued")
-        order = self.order
-        key = max(self.entries, key=lambda key: order.sort_key(self.entries[key], now))
-        return self.entries.pop(key)
+        return self.entries.pop(self.order.choose_last(self.entries, now))
 
     def pop_all(self) -> list[QueuedFlow]:
         """Remove and return all flows, in order of arrival."""
--- a/src/balsamtide/flows/local_flows.py
+++ b/src/balsamtide/flows/local_flows.py
@@ -63,6 +63,10 @@
         Local time at which the current request was complete; 0 if none.
     busy_before : int
         Requests at the target when the current one arrived.
+    client_zone : int
+        Number of the availability zone of the client, 0 if it is unknown.
+    is_charged : bool
+        Whether its class was charged for the request that follows the SYN.
     """
 
     key: bytes
@@ -82,6 +86,8 @@
     busy_until: float = 0.0
     request_received_at: float = 0.0
     busy_before: int = 0
+    client_zone: int = 0
+    is_charged: bool = False
 
     @property
     def is_closed(self) -> bool:
--- a/src/balsamtide/flows/metrics.py
+++ b/src/balsamtide/flows/metrics.py
@@ -3,6 +3,7 @@
 from balsamtide.telemetry.event import Metric, MetricKind
 
 __all__ = [
+    "CLASS_DECISIONS",
     "ANSWER_SECONDS",
     "FLOWS",
     "FLOW_DECISIONS",
@@ -30,6 +31,13 @@
     meaning="Decisions about flows, by outcome.",
     labels=("outcome",),
 )
+CLASS_DECISIONS = Metric(
+    name="flow_class_decisions_total",
+    kind=MetricKind.COUNTER,
+    meaning="New flows served from an agent's queue or refused there, by route, zone of "
+    "the client and reason.",
+    labels=("route", "zone", "outcome"),
+)
 HOPS = Metric(
     name="flow_hops_total",
     kind=MetricKind.COUNTER,
--- a/src/balsamtide/flows/new_flows.py
+++ b/src/balsamtide/flows/new_flows.py
@@ -5,12 +5,14 @@
 
 from balsamtide.flows.agent_state import AgentState, ForwardedFlow, PendingHandshake
 from balsamtide.flows.events import (
+    FLOW_CLASS_DECIDED,
     FLOW_DISOWNED,
     FLOW_PASSED_ON,
     FLOW_TAKEN,
     FLOW_WAITS,
 )
-from balsamtide.flows.flow_queue import QueuedFlow
+from balsamtide.flows.fair_share import ClassDecision
+from balsamtide.flows.flow_queue import FlowClass, QueuedFlow
 from balsamtide.flows.local_flows import LocalFlow
 from balsamtide.flows.metrics import HOPS
 from balsamtide.flows.packet import FlowPacket
@@ -155,15 +157,62 @@
                 # Returning targets will take part of the load.
                 return self._deliver_or_queue(packet, carry, "settling", now)
             case Refuse():
-                return self._refuse(packet, carry, now, "overload")
+                return self._refuse_by_share(packet, carry, now)
 
     def _deliver_or_queue(
         self, packet: FlowPacket, carry: Carry, reason: str, now: float
     ) -> list[Action]:
-        if self._may_deliver(now):
+        fair_share = self._enabled_fair_share()
+        # Queued flows of other classes may come before a new one.
+        has_others = fair_share is not None and len(self.queue) > 0
+        if self._may_deliver(now) and not has_others:
             return self._deliver_syn(packet, carry, reason, now)
         if self.queue.is_full:
+            return self._refuse_by_share(packet, carry, now)
+        actions = self._queue_flow(packet, carry, now)
+        return actions if fair_share is None else actions + self._admit_queued(now)
+
+    def _refuse_by_share(
+        self, packet: FlowPacket, carry: Carry, now: float
+    ) -> list[Action]:
+        """Refuse a new flow, or queue it if the fair shares allow that.
+
+        It is queued if its class is below its minimum share, or in place of a flow of
+        the class furthest above its share.
+        """
+        fair_share = self._enabled_fair_share()
+        if fair_share is None:
             return self._refuse(packet, carry, now, "overload")
+        newcomer = self._queued_flow(packet, carry, now)
+        entries = self.queue.entries
+        actions: list[Action] = []
+        if self.queue.is_full or not fair_share.can_start(entries, newcomer, now):
+            key = fair_share.choose_displaced(entries, newcomer, now)
+            if key is None:
+                return self._refuse(packet, carry, now, "overload")
+            actions = self._refuse_queued(key, ClassDecision.OVER_SHARE, now)
+        actions += self._queue_flow(packet, carry, now)
+        return actions + self._admit_queued(now)
+
+    def _refuse_queued(
+        self, key: bytes, decision: ClassDecision, now: float
+    ) -> list[Action]:
+        """Refuse a queued flow for the sake of the shares of others."""
+        queued = self.queue.entries.pop(key)
+        self._report_class(queued, now, refusal=decision)
+        return self._refuse(queued.packet, queued.carry, now, decision.value)
+
+    def _report_class(
+        self, queued: QueuedFlow, now: float, *, refusal: ClassDecision | None = None
+    ) -> None:
+        fair_share = self._enabled_fair_share()
+        if fair_share is not None:
+            fields = fair_share.explain(
+                queued, self.queue.entries, now, refusal=refusal
+            )
+            self.report(FLOW_CLASS_DECIDED, queued.packet.client_key, now, **fields)
+
+    def _queue_flow(self, packet: FlowPacket, carry: Carry, now: float) -> list[Action]:
         key = packet.client_key
         queued = self._queued_flow(packet, carry, now)
         self.forwarded.pop(key, None)
@@ -195,6 +244,7 @@
             start_by=sent_at + objective_s - needed_s,
             give_up_at=sent_at + min(MAX_SYN_AGE_S, timeout_s * MAX_START_RATIO),
             priority=route.priority if route else 0,
+            flow_class=FlowClass(route.name if route else "", carry.client_zone),
         )
 
     def _admit_queued(self, now: float) -> list[Action]:
@@ -213,8 +263,27 @@
             chosen = self.queue.pop_next(now)
             if chosen is None:
                 break
-            carry = chosen.updated_carry(now)
-            actions += self._deliver_syn(chosen.packet, carry, "waited", now)
+            actions += self._deliver_queued(chosen, now)
+        return actions + self._admit_by_share(now)
+
+    def _deliver_queued(self, queued: QueuedFlow, now: float) -> list[Action]:
+        self._report_class(queued, now)
+        carry = queued.updated_carry(now)
+        return self._deliver_syn(queued.packet, carry, "waited", now)
+
+    def _admit_by_share(self, now: float) -> list[Action]:
+        """Deliver flows of classes below their minimum share; refuse hopeless ones."""
+        fair_share = self._enabled_fair_share()
+        actions: list[Action] = []
+        if fair_share is None:
+            return actions
+        while fair_share.may_overcommit(self.flows.busy(now)):
+            key = fair_share.choose_guaranteed(self.queue.entries, now)
+            if key is None:
+                break
+            actions += self._deliver_queued(self.queue.entries.pop(key), now)
+        for key in fair_share.hopeless(self.queue.entries, now):
+            actions += self._refuse_queued(key, ClassDecision.NO_TIME, now)
         return actions
 
     def view_changed(self, now: float) -> list[Action]:
@@ -241,6 +310,12 @@
         key = packet.client_key
         busy = self.flows.busy(now)
         flow = self._new_flow(key, carry.origin, now, client_isn=packet.sequence)
+        flow.client_zone = carry.client_zone
+        fair_share = self._enabled_fair_share()
+        if fair_share is not None:
+            flow_class = self._flow_class(flow)
+            fair_share.record_start(flow_class, now, is_on_open_flow=False)
+            flow.is_charged = True
         self.forwarded.pop(key, None)
         self.flows.reserve(flow, now)
         self.pending_handshakes[key] = PendingHandshake(carry, now)
--- a/src/balsamtide/flows/open_flows.py
+++ b/src/balsamtide/flows/open_flows.py
@@ -30,9 +30,16 @@
     """
 
     def __init__(
-        self, *, host: int, packets: PacketCodec, gossip: ViewGossip, sink: Sink
+        self,
+        *,
+        host: int,
+        packets: PacketCodec,
+        gossip: ViewGossip,
+        sink: Sink,
+        client_zone: int = 0,
     ) -> None:
         super().__init__(host=host, packets=packets, gossip=gossip, sink=sink)
+        self.client_zone = client_zone
         self.flows = FlowCache()
         self.searches = SearchTable()
 
@@ -54,6 +61,7 @@
             elapsed_s=elapsed_s,
             must_take=must_take,
             is_tentative=is_tentative,
+            client_zone=self.client_zone,
         )
         return SendFrame(flow.host, frame)
 
--- a/src/balsamtide/flows/packet.py
+++ b/src/balsamtide/flows/packet.py
@@ -15,6 +15,7 @@
     "flow_key",
     "format_key",
     "sequence_distance",
+    "service_address",
 ]
 
 KEY = Struct(">IHIH")
@@ -92,6 +93,12 @@
     return KEY.pack(*client, *service)
 
 
+def service_address(key: bytes) -> ClientAddress:
+    """Return the address and port of the service in a flow's key."""
+    _, _, address, port = KEY.unpack(key)
+    return address, port
+
+
 def format_key(key: bytes) -> str:
     """Return a flow's key as ``client:port>service:port`` for logs."""
     client, client_port, service, service_port = KEY.unpack(key)
--- a/src/balsamtide/protocol/flow_frames.py
+++ b/src/balsamtide/protocol/flow_frames.py
@@ -98,6 +98,10 @@
 HOST = Struct(">I")
 MUST_TAKE = 1
 TENTATIVE = 2
+# The number of the client's zone follows in the flags.  Earlier builds ignore these
+# bits.
+CLIENT_ZONE_SHIFT = 2
+MAX_CLIENT_ZONE = 0x3F
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -122,6 +126,8 @@
         Least loaded agent so far and its load per slot; host 0 for none.
     visited : tuple of int
         Hosts of the agents that passed the packet on.
+    client_zone : int
+        Number of the availability zone of the client, from 1; 0 if it is unknown.
     packet : bytes
         The packet.
     """
@@ -136,10 +142,13 @@
     best_host: int = 0
     best_load: float = 0.0
     visited: tuple[int, ...] = ()
+    client_zone: int = 0
 
     def encode(self) -> bytes:
         """Return the frame's octets."""
         flags = MUST_TAKE * self.must_take | TENTATIVE * self.is_tentative
+        if self.client_zone <= MAX_CLIENT_ZONE:
+            flags |= self.client_zone << CLIENT_ZONE_SHIFT
         head = CARRY.pack(
             FrameKind.CARRY,
             flags,
@@ -174,6 +183,7 @@
         best_host=host,
         best_load=load / LOAD_UNIT,
         visited=visited,
+        client_zone=flags >> CLIENT_ZONE_SHIFT,
     )
 
 
