--- a/src/balsamtide/flow_node/daemon.py
+++ b/src/balsamtide/flow_node/daemon.py
@@ -159,6 +159,7 @@
                 random=Random(self.random.getrandbits(64)),
                 sink=sink,
             )
+        zones = settings.zones
         balancer = FlowBalancer(
             host=gossip.host,
             packets=WirePackets(),
@@ -168,6 +169,9 @@
             evacuation=ZoneEvacuation(
                 timeout_s=settings.evacuation_timeout_s, zone=settings.zone
             ),
+            client_zone=(
+                zones.index(settings.zone) + 1 if settings.zone in zones else 0
+            ),
         )
         return BalancerRuntime(
             processor=balancer,
@@ -182,6 +186,7 @@
     ) -> FlowRuntime:
         from balsamtide.flow_node.agent_runtime import AgentRuntime
         from balsamtide.flows.evacuation import ZoneEvacuation
+        from balsamtide.flows.fair_share import FairShareOrder
         from balsamtide.flows.flow_agent import FlowAgent
         from balsamtide.flows.flow_queue import ObjectiveOrder
         from balsamtide.flows.rebalancing import MoveShareOfNewTargets
@@ -214,6 +219,7 @@
             ),
             limiter=_make_limiter(settings.warm_up_limit),
             loads=loads,
+            fair_share=FairShareOrder(sink=sink, zones=settings.zones),
         )
         return AgentRuntime(
             processor=agent,
--- a/src/balsamtide/flows/agent_state.py
+++ b/src/balsamtide/flows/agent_state.py
@@ -8,10 +8,11 @@
 from balsamtide.fleet.view_gossip import ViewGossip
 from balsamtide.flows.evacuation import ZoneEvacuation
 from balsamtide.flows.events import TARGET_COLD
-from balsamtide.flows.flow_queue import FlowQueue, QueueOrder
+from balsamtide.flows.fair_share import FairShareOrder
+from balsamtide.flows.flow_queue import FlowClass, FlowQueue, QueueOrder
 from balsamtide.flows.local_flows import LocalFlow, LocalFlows
 from balsamtide.flows.metrics import PACKETS
-from balsamtide.flows.packet import PacketCodec
+from balsamtide.flows.packet import PacketCodec, service_address
 from balsamtide.flows.processor import FlowProcessor
 from balsamtide.flows.rebalancing import QueueRebalancing
 from balsamtide.flows.spillover import SpilloverPolicy
@@ -101,6 +102,8 @@
         Limits the SYNs that the target gets while it is cold; None for no limit.
     loads : LoadTable or None
         Loads that are shared with other processes.
+    fair_share : FairShareOrder or None
+        Shares the target's time among classes of callers; it replaces ``order``.
     """
 
     def __init__(
@@ -119,6 +122,7 @@
         evacuation: ZoneEvacuation | None = None,
         limiter: WarmUpLimiter | None = None,
         loads: "LoadTable | None" = None,
+        fair_share: FairShareOrder | None = None,
     ) -> None:
         super().__init__(
             host=host,
@@ -138,7 +142,8 @@
         # At first the target may have flows older than this process.  Comparing the
         # start times of both would be wrong if the wall clock jumped in between.
         self.flows = LocalFlows(complete_at=now + flow_lifetime_s)
-        self.queue = FlowQueue(order=order)
+        self.queue = FlowQueue(order=fair_share or order)
+        self.fair_share = fair_share
         self.forwarded: dict[bytes, ForwardedFlow] = {}
         self.pending_handshakes: dict[bytes, PendingHandshake] = {}
         # Local time until which the target is known not to have a flow, by flow key.
@@ -307,6 +312,23 @@
         ]
         return INITIAL_SERVICE_TIME_RATIO * min(objectives, default=0.0)
 
+    def _enabled_fair_share(self) -> FairShareOrder | None:
+        """Return the fair shares if the configuration in force enables them."""
+        fair_share = self.fair_share
+        if fair_share is None:
+            return None
+        if not fair_share.configure(self.view.configuration, self.service):
+            return None
+        fair_share.set_target(
+            capacity=self._capacity(), service_time_s=self._service_time_s()
+        )
+        return fair_share
+
+    def _flow_class(self, flow: LocalFlow) -> FlowClass:
+        """Return the class of an open flow."""
+        route = self.view.route(service_address(flow.key))
+        return FlowClass(route.name if route else "", flow.client_zone)
+
     def _known_flow(self, key: bytes, now: float) -> LocalFlow | None:
         return self.flows.get(key, now, self.idle_timeout_s)
 
--- a/src/balsamtide/flows/events.py
+++ b/src/balsamtide/flows/events.py
@@ -4,6 +4,7 @@
 
 __all__ = [
     "AGENT_SILENT",
+    "FLOW_CLASS_DECIDED",
     "FLOW_ANSWERED",
     "FLOW_DISOWNED",
     "FLOW_DROPPED",
@@ -102,7 +103,12 @@
     "evacuated zones, so end an evacuation or add targets in another zone; cold: the "
     "target's warm-up rate is too low for the load.",
     fields=FLOW_FIELDS
-    | {"reason": "no-route, no-target, evacuated, overload or cold"}
+    | {
+        "reason": "no-route; no-target; evacuated; cold; overload: it can't start in "
+        "time, or the queue is full; over-share: a flow of a class with a smaller "
+        "share of the target's time got its place in the queue; no-time: it was queued "
+        "and can't start in time anymore"
+    }
     | VIEW_FIELDS,
 )
 FLOW_DROPPED = Event(
@@ -265,3 +271,22 @@
         "age_ms": "mean age of the loads, in milliseconds",
     },
 )
+FLOW_CLASS_DECIDED = Event(
+    number=927,
+    name="flow-class-decided",
+    level=Level.INFO,
+    meaning="An agent served or refused a queued flow by its class, which is the route "
+    "and the zone of the client.",
+    fields=FLOW_FIELDS
+    | {
+        "route": "route of the flow",
+        "zone": "availability zone of the client, or unknown",
+        "why": "minimum-share: its class had less than its minimum; in-objective, "
+        "late: it was next by objective, priority and deadline; over-share, no-time: "
+        "it was refused, see opening-refused",
+        "share": "share of the class of the time that the target served lately",
+        "minimum": "share that a class with queued flows keeps",
+        "classes": "classes that were served lately or have queued flows",
+    }
+    | VIEW_FIELDS,
+)
--- a/src/balsamtide/flows/flow_balancer.py
+++ b/src/balsamtide/flows/flow_balancer.py
@@ -97,6 +97,8 @@
         Receives events and metrics.
     evacuation : ZoneEvacuation or None
         As for `FlowProcessor`.
+    client_zone : int
+        Number of this availability zone in frames, from 1; 0 if it has none.
     """
 
     def __init__(
@@ -108,6 +110,7 @@
         placement: PlacementPolicy,
         sink: Sink,
         evacuation: ZoneEvacuation | None = None,
+        client_zone: int = 0,
     ) -> None:
         super().__init__(
             host=host,
@@ -115,6 +118,7 @@
             gossip=gossip,
             sink=sink,
             evacuation=evacuation,
+            client_zone=client_zone,
         )
         self.placement = placement
         self.pending_flows: dict[bytes, PendingFlow] = {}
--- a/src/balsamtide/flows/open_flows.py
+++ b/src/balsamtide/flows/open_flows.py
@@ -43,6 +43,7 @@
         gossip: ViewGossip,
         sink: Sink,
         evacuation: ZoneEvacuation | None = None,
+        client_zone: int = 0,
     ) -> None:
         super().__init__(
             host=host,
@@ -51,6 +52,7 @@
             sink=sink,
             evacuation=evacuation,
         )
+        self.client_zone = client_zone
         self.flows = FlowCache()
         self.searches = SearchTable()
 
@@ -72,6 +74,7 @@
             elapsed_s=elapsed_s,
             must_take=must_take,
             is_tentative=is_tentative,
+            client_zone=self.client_zone,
         )
         return SendFrame(flow.host, frame)
 
