--- a/src/balsamtide/flows/agent_state.py
+++ b/src/balsamtide/flows/agent_state.py
@@ -177,12 +177,15 @@
 
     def _withheld_reason(self, now: float) -> str:
         """Return why the target gets no SYN at all, not even a retransmitted one."""
-        if self.has_closed_zones(now):
+        evacuation = self.evacuation
+        if self.view.evacuated_zones is not evacuation.zones:
+            self.update_zones(now)
+        if evacuation.phases:
             target = self.own_target()
-            zone = target.zone if target else self.evacuation.zone
-            if self.evacuation.share(zone, self.service, self.view, now) <= 0.0:
+            zone = target.zone if target else evacuation.zone
+            if evacuation.share(zone, self.service, self.view, now) <= 0.0:
                 return "evacuated"
-        if self.evacuation.timeout_s is None:
+        if evacuation.timeout_s is None:
             return ""
         self._detect_suspension(now)
         is_behind = now < self.caught_up_at and not self.gossip.is_fresh(now)
@@ -197,13 +200,11 @@
             self.last_tick_at = now
             self.caught_up_at = now + CATCH_UP_S
 
-    def _lacks_view(self) -> bool:
+    def _needs_view(self) -> bool:
         """Whether the settings allow what can't be known without a view.
 
         That is whether the zone is evacuated, and whether the target is cold.
         """
-        if self.view.revision >= 0:
-            return False
         return self.evacuation.timeout_s is not None or self.limiter is not None
 
     def _is_known_absent(self, key: bytes, now: float) -> bool:
@@ -231,6 +232,8 @@
         need not know the reason of the wait.
         """
         demand = self.flows.busy(now) + len(self.queue)
+        if self.limiter is None:
+            return demand
         wait_s = self._warm_up_wait_s(now, len(self.queue))
         if wait_s <= 0.0:
             return demand
@@ -275,7 +278,7 @@
         True also without a free slot if requests are too short to be queued, or if
         `MAX_OVERCOMMIT` allows one more; false while a cold target gets no SYN.
         """
-        if self._warm_up_wait_s(now) > 0.0:
+        if self.limiter is not None and self._warm_up_wait_s(now) > 0.0:
             return False
         if self._service_time_s() < MIN_QUEUED_SERVICE_TIME_S:
             return True
--- a/src/balsamtide/flows/new_flows.py
+++ b/src/balsamtide/flows/new_flows.py
@@ -59,7 +59,7 @@
     """Delivers, queues, forwards or refuses new flows."""
 
     def _handle_syn(self, packet: FlowPacket, carry: Carry, now: float) -> list[Action]:
-        if self._lacks_view():
+        if self.view.revision < 0 and self._needs_view():
             self.sink.count(OPENINGS_WITHHELD, reason="no-view")
             return self._disown(packet, carry, DisownReason.NOT_HERE, now)
         key = packet.client_key
