Forget a queued retransmission once the target answers the SYN

A cold target's agent queued the retransmission of a SYN that the target had got. When the target answered, the entry stayed: its SYN was delivered again to the open flow, or its expiry reset the flow.

--- a/src/balsamtide/flows/flow_agent.py
+++ b/src/balsamtide/flows/flow_agent.py
@@ -235,6 +235,11 @@
         return []
 
     def _handle_syn_ack(self, flow: LocalFlow, packet: FlowPacket, now: float) -> None:
+        queued = self.queue.get(flow.key)
+        client_isn = (packet.acknowledgement - 1) % SEQUENCE_MODULUS
+        if queued is not None and queued.packet.sequence == client_isn:
+            # A retransmission was queued, but the target has got an earlier SYN.
+            self.queue.drop(flow.key)
         if self.pending_handshakes.pop(flow.key, None) is not None:
             self.sink.observe(HANDSHAKE_SECONDS, now - flow.delivered_at)
         if flow.is_open and flow.target_isn is None:
@@ -246,7 +251,7 @@
             flow.target_end = 0
         if flow.client_isn is None:
             # A SYN-ACK acknowledges the SYN, which consumes one sequence number.
-            flow.client_isn = (packet.acknowledgement - 1) % SEQUENCE_MODULUS
+            flow.client_isn = client_isn
 
     def _finish_request(self, flow: LocalFlow, now: float) -> None:
         took_s = self.flows.end_request(flow, now, assumed_s=self._service_time_s())
--- a/tests/test_flow_evacuation.py
+++ b/tests/test_flow_evacuation.py
@@ -332,6 +332,9 @@
     """Occupy the target's slots and queue flows; return the ports of the queued."""
     for port in range(1, count):
         deliver(agent, syn_packet(port), NOW, must_take=True)
+        if key_of(port) in agent.queue.entries:
+            # The target has not got this SYN.
+            continue
         agent.receive_from_target(
             target_packet(SYN | ACK, port=port, sequence=9000), NOW
         )
@@ -458,3 +461,34 @@
         show(balancer, view, NOW + now)
     reported = [(event.name, fields["zone"]) for event, fields in balancer.sink.events]
     assert reported == [("zone-evacuated", "a"), ("zone-returns", "a")]
+
+
+def test_queued_flow_moves_to_an_agent_that_it_has_visited():
+    """A visited agent was busy then; it must not count as unable to take the flow."""
+    two = make_view(*ZONED[:2])
+    agent = agent_of(two)
+    agent.flows.service_time_s = 0.05
+    for port in range(1, 30):
+        agent.receive_frame(
+            carry_frame(syn_packet(port), must_take=True, visited=(HOSTS[1],)),
+            BALANCER,
+            NOW,
+        )
+    queued = len(agent.queue)
+    assert queued
+    agent.gossip.view = replace(two, revision=10, evacuated_zones=frozenset("a"))
+    agent.gossip.confirmed_at = NOW
+    agent.evacuation.confirmed_at = NOW - TIMEOUT_S
+    actions = agent.view_changed(NOW)
+    assert not of_kind(actions, ToClient)
+    assert {frame.host for frame in frames(actions, Carry)} == {HOSTS[1]}
+    assert len(frames(actions, Carry)) == queued
+
+
+def test_agent_takes_a_flow_back_that_its_peer_must_not_open():
+    """It must not send the flow to the evacuated peer that it was forwarded to."""
+    agent = make_agent(make_view(*ZONED[:2]), host=HOSTS[1])
+    packet = PACKETS.decode(syn_packet())
+    agent._forward(packet, carry_frame(syn_packet()), HOSTS[0], "busy", NOW)
+    carry = carry_frame(syn_packet(), visited=(HOSTS[0],))
+    assert of_kind(agent.receive_frame(carry, HOSTS[0], NOW + 0.1), ToTarget)
--- a/tests/test_flow_warm_up.py
+++ b/tests/test_flow_warm_up.py
@@ -9,6 +9,7 @@
 
 from balsamtide.fleet.view import FleetView, WarmUp
 from balsamtide.flows.agent_state import HANDSHAKE_TIMEOUT_S
+from balsamtide.flows.fair_share import FairShareOrder
 from balsamtide.flows.metrics import OPENINGS_WITHHELD
 from balsamtide.flows.warm_up import WINDOW_S, WarmUpLimiter
 from balsamtide.platform.packets import ACK, FIN, SYN
@@ -16,14 +17,17 @@
 from balsamtide.protocol.flow_frames import Carry, Disowned, Taken
 from bench.standins.flow_world import START, FlowWorld, WorldOptions
 from tests.fakes_packets import (
+    ADDRESS,
     BALANCER,
     HOSTS,
     NOW,
+    OTHER_ADDRESS,
     TARGETS,
     carry_frame,
     client_packet,
     frames,
     make_agent,
+    make_route,
     make_view,
     of_kind,
     returned_packet,
@@ -401,3 +405,21 @@
         lates += late
         baseline_lates += baseline_late
     assert lates < baseline_lates
+
+
+def test_target_answers_a_syn_whose_retransmission_is_queued():
+    """An open flow must not be reset because its retransmitted SYN was queued."""
+    agent = cold_agent()
+    for port in range(1, ALLOWANCE):
+        deliver(agent, syn_packet(port), NOW - 0.5, must_take=True)
+        answer(agent, port, NOW - 0.5)
+    deliver(agent, syn_packet(), must_take=True)
+    deliver(agent, syn_packet(retransmissions=1), NOW + 0.05, must_take=True)
+    assert len(agent.queue) == 1
+    agent.receive_from_target(target_packet(SYN | ACK, sequence=9000), NOW + 0.06)
+    request = client_packet(ACK, sequence=501, acknowledgement=9001, data=20)
+    assert of_kind(deliver(agent, request, NOW + 0.07), ToTarget)
+    later = [a for step in range(1, 200) for a in agent.tick(NOW + 0.07 + step / 100)]
+    assert not of_kind(later, ToClient)
+    assert not of_kind(later, ToTarget)
+    assert len(agent.queue) == 0
