Update the reported load when work ends without an answer

After queued flows moved or slots expired, an agent reported the last recorded demand as its present load until its next request, which a high load prevents.

--- a/src/balsamtide/flows/flow_agent.py
+++ b/src/balsamtide/flows/flow_agent.py
@@ -349,6 +349,9 @@
             self.next_sweep_at = now + SWEEP_PERIOD_S
             self.update_zones(now)
             self.flows.expire(now, self.idle_timeout_s)
+            # Work may end without an answer: slots expire, queued flows move.
+            self.flows.busy(now)
+            self._record_demand(now)
             self.forwarded = {
                 key: forwarded
                 for key, forwarded in self.forwarded.items()
--- a/tests/test_even_load.py
+++ b/tests/test_even_load.py
@@ -26,6 +26,8 @@
 from balsamtide.telemetry.memory_sink import MemorySink
 from bench.measures.even_load import mean_outcome, report_ages
 from tests.fakes_packets import (
+    BALANCER,
+    HOSTS,
     NOW,
     TARGETS,
     carry_frame,
@@ -344,3 +346,26 @@
     ages, known = zip(*(report_ages(50, seed=seed) for seed in (1, 2)), strict=True)
     assert fmean(known) >= 0.95
     assert fmean(ages) <= 2.0
+
+
+@pytest.mark.parametrize("ends_by", ["reset", "expiry", "move"])
+def test_reported_load_falls_after_work_ends_without_an_answer(ends_by):
+    """An agent that reports a load that is gone would get no new flows."""
+    view = make_view(*TARGETS)
+    agent = make_agent(view)
+    agent.loads = LoadTable(targets=lambda: agent.view.by_host, host=HOSTS[0], now=NOW)
+    agent.flows.service_time_s = 0.05
+    for port in range(1, 40):
+        carry = carry_frame(syn_packet(port), must_take=True)
+        agent.receive_frame(carry, BALANCER, NOW)
+    assert agent.loads.meter.demand > 20
+    if ends_by == "move":
+        agent.is_stopping = True
+    elif ends_by == "reset":
+        for key in list(agent.flows.flows):
+            agent.flows.drop(key)
+    for step in range(1, 800):
+        agent.tick(NOW + step / 100)
+    assert not agent.has_requests(NOW + 8)
+    (own, *_) = agent.loads.outgoing(NOW + 8)
+    assert own.load < 1
