--- a/src/balsamtide/flows/new_flows.py
+++ b/src/balsamtide/flows/new_flows.py
@@ -214,9 +214,8 @@
             return self._deliver_syn(packet, carry, reason, now)
         if self.queue.is_full:
             return self._refuse_by_share(packet, carry, now)
-        wait_s = self._warm_up_wait_s(now, len(self.queue))
-        give_up_at = self._queued_flow(packet, carry, now).give_up_at
-        if not is_settling and now + wait_s > give_up_at:
+        queued = self._queued_flow(packet, carry, now)
+        if not is_settling and self._starts_too_late(queued, len(self.queue), now):
             return self._refuse(packet, carry, now, "cold")
         actions = self._queue_flow(packet, carry, now)
         return actions if fair_share is None else actions + self._admit_queued(now)
@@ -235,14 +234,22 @@
         newcomer = self._queued_flow(packet, carry, now)
         entries = self.queue.entries
         actions: list[Action] = []
-        if self.queue.is_full or not fair_share.can_start(entries, newcomer, now):
+        ahead = len(entries)
+        is_too_cold = self._starts_too_late(newcomer, ahead, now)
+        must_displace = self.queue.is_full or is_too_cold
+        if must_displace or not fair_share.can_start(entries, newcomer, now):
             key = fair_share.choose_displaced(entries, newcomer, now)
-            if key is None:
-                return self._refuse(packet, carry, now, "overload")
+            if key is None or self._starts_too_late(newcomer, ahead - 1, now):
+                reason = "cold" if is_too_cold else "overload"
+                return self._refuse(packet, carry, now, reason)
             actions = self._refuse_queued(key, ClassDecision.OVER_SHARE, now)
         actions += self._queue_flow(packet, carry, now)
         return actions + self._admit_queued(now)
 
+    def _starts_too_late(self, queued: QueuedFlow, ahead: int, now: float) -> bool:
+        """Whether the cold target gets a SYN behind others after its client gave up."""
+        return now + self._warm_up_wait_s(now, ahead) > queued.give_up_at
+
     def _refuse_queued(
         self, key: bytes, decision: ClassDecision, now: float
     ) -> list[Action]:
--- a/tests/test_flow_warm_up.py
+++ b/tests/test_flow_warm_up.py
@@ -423,3 +423,20 @@
     assert not of_kind(later, ToClient)
     assert not of_kind(later, ToTarget)
     assert len(agent.queue) == 0
+
+
+def test_fair_shares_queue_no_flow_that_a_cold_target_starts_too_late():
+    """A flow that only its share admits must not be held until its client gives up."""
+    routes = {
+        ADDRESS: replace(make_route(), name="orders", priority=1, timeout_s=0.4),
+        OTHER_ADDRESS: replace(make_route(), name="reads", priority=2),
+    }
+    view = cold_view(TARGETS[0])
+    configuration = replace(view.configuration, routes=routes)
+    agent = cold_agent(replace(view, configuration=configuration))
+    agent.fair_share = FairShareOrder(sink=agent.sink, zones=("a", "b"))
+    agent.queue.order = agent.fair_share
+    use_up(agent)
+    actions = deliver(agent, syn_packet(99, address=OTHER_ADDRESS))
+    assert of_kind(actions, ToClient)
+    assert len(agent.queue) == 0
