Do not send a flow back to the agent that could not keep it

A retransmission circulated between two agents that had forwarded the flow to each other. Queued flows of an evacuated zone were refused if they had visited the only other agents, which were busy at that time but available.

--- a/src/balsamtide/flows/new_flows.py
+++ b/src/balsamtide/flows/new_flows.py
@@ -94,8 +94,12 @@
             forwarded is not None
             and now < forwarded.expires_at
             and forwarded.client_isn == packet.sequence
+            # Otherwise that agent has sent it on, and does not have the flow.
+            and forwarded.host not in carry.visited
         ):
-            return [SendFrame(forwarded.host, replace(carry, must_take=True))]
+            visited = self._visited(carry)
+            sent_on = replace(carry, must_take=True, visited=visited)
+            return [SendFrame(forwarded.host, sent_on)]
         rerouted = self._reroute_stale_service(packet, carry, now)
         if rerouted is not None:
             return rerouted
@@ -314,7 +318,8 @@
         unavailable = self._unavailable_reason(now)
         if unavailable:
             for queued in self.queue.pop_all():
-                carry = queued.updated_carry(now)
+                # The agents visited were busy when it arrived, not unavailable.
+                carry = replace(queued.updated_carry(now), visited=())
                 actions += self._forward_to_peer(queued.packet, carry, unavailable, now)
         while self._may_deliver(now):
             chosen = self.queue.pop_next(now)
@@ -442,10 +447,14 @@
             reason=reason,
             **self._describe_load(host, now),
         )
+        return [SendFrame(host, replace(carry, visited=self._visited(carry)))]
+
+    def _visited(self, carry: Carry) -> tuple[int, ...]:
+        """Return the agents that a flow has visited, including this one."""
         visited = carry.visited
-        if self.host not in visited and len(visited) < MAX_VISITED:
-            visited = (*visited, self.host)
-        return [SendFrame(host, replace(carry, visited=visited))]
+        if self.host in visited or len(visited) >= MAX_VISITED:
+            return visited
+        return (*visited, self.host)
 
     def _drop_replaced(self, packet: FlowPacket) -> None:
         """Remove the flow of a SYN that is not delivered, and a closed earlier one.
--- a/tests/test_flow_agent.py
+++ b/tests/test_flow_agent.py
@@ -727,3 +727,22 @@
     assert (HOSTS[0] in [t.host for t in peer.available_targets("orders", NOW)]) is (
         expected
     )
+
+
+def test_retransmission_does_not_circulate_between_agents():
+    """The frame that returned the flow was lost, so that neither agent has it."""
+    first, second = make_agent(), make_agent(host=HOSTS[1])
+    packet = PACKETS.decode(syn_packet())
+    first._forward(packet, carry_frame(syn_packet()), HOSTS[1], "busy", NOW)
+    second._forward(
+        packet, carry_frame(syn_packet(), visited=(HOSTS[0],)), HOSTS[0], "busy", NOW
+    )
+    agents = {HOSTS[0]: first, HOSTS[1]: second}
+    host, carry = HOSTS[0], carry_frame(syn_packet(retransmissions=1), must_take=True)
+    for _ in range(4):
+        actions = agents[host].receive_frame(carry, BALANCER, NOW + 0.2)
+        if of_kind(actions, ToTarget):
+            return
+        (sent,) = frames(actions, Carry)
+        host, carry = sent.host, sent.frame
+    pytest.fail("no agent delivers the SYN")
