--- a/src/balsamtide/flows/flow_agent.py
+++ b/src/balsamtide/flows/flow_agent.py
@@ -343,7 +343,7 @@
         ]:
             actions += self._handle_handshake_timeout(key, now)
         if self.next_queue_check_at <= now:
-            actions += self._admit_queued(now)
+            actions += self._admit_queued(now) + self._refuse_hopeless(now)
             self.next_queue_check_at = now + QUEUE_CHECK_PERIOD_S if self.queue else inf
         if self.next_sweep_at <= now:
             self.next_sweep_at = now + SWEEP_PERIOD_S
--- a/src/balsamtide/flows/new_flows.py
+++ b/src/balsamtide/flows/new_flows.py
@@ -222,7 +222,9 @@
         if not is_settling and self._starts_too_late(queued, len(self.queue), now):
             return self._refuse(packet, carry, now, "cold")
         actions = self._queue_flow(packet, carry, now)
-        return actions if fair_share is None else actions + self._admit_queued(now)
+        if fair_share is None:
+            return actions
+        return actions + self._admit_queued(now) + self._refuse_hopeless(now)
 
     def _refuse_by_share(
         self, packet: FlowPacket, carry: Carry, now: float
@@ -248,7 +250,7 @@
                 return self._refuse(packet, carry, now, reason)
             actions = self._refuse_queued(key, ClassDecision.OVER_SHARE, now)
         actions += self._queue_flow(packet, carry, now)
-        return actions + self._admit_queued(now)
+        return actions + self._admit_queued(now) + self._refuse_hopeless(now)
 
     def _starts_too_late(self, queued: QueuedFlow, ahead: int, now: float) -> bool:
         """Whether the cold target gets a SYN behind others after its client gave up."""
@@ -334,7 +336,7 @@
         return self._deliver_syn(queued.packet, carry, "waited", now)
 
     def _admit_by_share(self, now: float) -> list[Action]:
-        """Deliver flows of classes below their minimum share; refuse hopeless ones."""
+        """Deliver flows of classes below their minimum share."""
         fair_share = self._enabled_fair_share()
         actions: list[Action] = []
         if fair_share is None:
@@ -346,8 +348,19 @@
             if key is None:
                 break
             actions += self._deliver_queued(self.queue.entries.pop(key), now)
-        for key in fair_share.hopeless(self.queue.entries, now):
-            actions += self._refuse_queued(key, ClassDecision.NO_TIME, now)
+        return actions
+
+    def _refuse_hopeless(self, now: float) -> list[Action]:
+        """Refuse queued flows that can't start before their clients give up.
+
+        It sorts the queue, so that it runs for each flow that is queued and with the
+        queue's timer, but not for each packet of the target.
+        """
+        fair_share = self._enabled_fair_share()
+        actions: list[Action] = []
+        if fair_share is not None:
+            for key in fair_share.hopeless(self.queue.entries, now):
+                actions += self._refuse_queued(key, ClassDecision.NO_TIME, now)
         return actions
 
     def view_changed(self, now: float) -> list[Action]:
