Stop retransmitted SYNs from circulating between two agents

An agent passes the retransmission of a SYN on to the agent that got the first one, but did not add itself to the visited hosts. If that agent had become unavailable (draining, evacuated, silent) and had nothing of the flow, it could choose the first one, which passed the packet on again. Both sent the packet in turn without a pause until the entry expired after 2 s.

--- a/src/balsamtide/flows/new_flows.py
+++ b/src/balsamtide/flows/new_flows.py
@@ -95,7 +95,10 @@
             and now < forwarded.expires_at
             and forwarded.client_isn == packet.sequence
         ):
-            return [SendFrame(forwarded.host, replace(carry, must_take=True))]
+            # Without this host among the visited ones, an agent that has become
+            # unavailable could return the packet, and both would pass it on in turn.
+            again = replace(carry, visited=self._visited(carry), must_take=True)
+            return [SendFrame(forwarded.host, again)]
         rerouted = self._reroute_stale_service(packet, carry, now)
         if rerouted is not None:
             return rerouted
@@ -435,10 +438,14 @@
             reason=reason,
             **self._describe_load(host, now),
         )
+        return [SendFrame(host, replace(carry, visited=self._visited(carry)))]
+
+    def _visited(self, carry: Carry) -> tuple[int, ...]:
+        """Return the agents that passed a packet on, with this one."""
         visited = carry.visited
-        if self.host not in visited and len(visited) < MAX_VISITED:
-            visited = (*visited, self.host)
-        return [SendFrame(host, replace(carry, visited=visited))]
+        if self.host in visited or len(visited) >= MAX_VISITED:
+            return visited
+        return (*visited, self.host)
 
     def _drop_replaced(self, packet: FlowPacket) -> None:
         """Remove the flow of a SYN that is not delivered, and a closed earlier one.
--- a/tests/test_flow_identity.py
+++ b/tests/test_flow_identity.py
@@ -5,6 +5,7 @@
 import pytest
 
 from balsamtide.fleet.view import TargetState
+from balsamtide.flows.agent_state import ForwardedFlow
 from balsamtide.flows.packet import SEQUENCE_MODULUS
 from balsamtide.platform.packets import ACK, FIN, SYN
 from balsamtide.protocol.flow_actions import ToClient, ToTarget
@@ -15,6 +16,7 @@
     Locate,
     Located,
     Ownership,
+    Refused,
     Taken,
     service_tag,
 )
@@ -377,3 +379,16 @@
     (located,) = frames(agent.receive_frame(locate, BALANCER, NOW), Located)
     assert located.frame.ownership is Ownership.OWNS
     assert len(of_kind(handle(agent, request(ISN + 21)), ToTarget)) == 1
+
+
+def test_retransmission_does_not_circulate_between_two_agents():
+    """A SYN that was passed on must not come back from an agent that now drains."""
+    view = make_view(*with_state(TargetState.DRAINING, HOSTS[1])[:2])
+    agents = {host: make_agent(view, host=host) for host in HOSTS[:2]}
+    agents[HOSTS[0]].forwarded[KEY] = ForwardedFlow(HOSTS[1], ISN, NOW + 2.0)
+    carry = carry_frame(syn_packet(retransmissions=1))
+    (sent,) = agents[HOSTS[0]].receive_frame(carry, BALANCER, NOW)
+    assert (sent.host, sent.frame.must_take) == (HOSTS[1], True)
+    actions = agents[HOSTS[1]].receive_frame(sent.frame, HOSTS[0], NOW)
+    assert not frames(actions, Carry)
+    assert frames(actions, Refused)
