Keep a confirmed flow when another agent returns its SYN late

A balancer that had given up an agent and placed the SYN at a second one, which confirmed the flow, placed it a third time when the first agent returned the SYN, for example after a suspension. The packets of the open flow then went to the third target, where the SYN opened another flow.

--- a/src/balsamtide/flows/flow_balancer.py
+++ b/src/balsamtide/flows/flow_balancer.py
@@ -340,8 +340,12 @@
             return []
         key = packet.client_key
         flow = self.flows.get(key, now, self.idle_timeout_s)
-        if packet.is_opening and flow is not None and flow.is_newer_than(packet):
-            return []
+        if packet.is_opening and flow is not None:
+            # An agent that was suspended may return a SYN that another has taken.
+            is_elsewhere = flow.is_confirmed and flow.host != source
+            is_taken = is_elsewhere and key not in self.pending_flows
+            if is_taken or flow.is_newer_than(packet):
+                return []
         if flow is not None and flow.host == source:
             self.flows.drop(key)
         if packet.is_opening:
--- a/tests/test_flow_identity.py
+++ b/tests/test_flow_identity.py
@@ -392,3 +392,16 @@
     actions = agents[HOSTS[1]].receive_frame(sent.frame, HOSTS[0], NOW)
     assert not frames(actions, Carry)
     assert frames(actions, Refused)
+
+
+def test_late_return_of_a_syn_does_not_move_its_flow():
+    """A resumed agent that returns a SYN must not draw off the flow of another one."""
+    balancer = make_balancer()
+    (first,) = balancer.receive_packet(syn_packet(), NOW)
+    (second,) = frames(balancer.tick(balancer.deadline), Carry)
+    assert second.host != first.host
+    balancer.receive_frame(Taken(KEY, 0.0), second.host, NOW + 0.2)
+    late = Disowned(DisownReason.NOT_HERE, syn_packet())
+    assert not balancer.receive_frame(late, first.host, NOW + 0.3)
+    (action,) = frames(balancer.receive_packet(DATA, NOW + 0.4), Carry)
+    assert action.host == second.host
