Read on after a page that ends with a key of no valid Unicode

The query for the next page encoded the last key strictly. A lone surrogate in it raised UnicodeEncodeError, which is no StoreError, so that the reader ended.

--- a/src/balsamtide/platform/store.py
+++ b/src/balsamtide/platform/store.py
@@ -184,7 +184,10 @@
         # Imported with the first read, since a started process may not need one.
         from urllib.parse import urlencode
 
-        response = await self.client.get(f"{path}?{urlencode(query)}", wait_s=wait_s)
+        # A page may end with a key that no text encoding holds, and the next one
+        # starts after it.
+        text = urlencode(query, errors="surrogatepass")
+        response = await self.client.get(f"{path}?{text}", wait_s=wait_s)
         self.era.record(response.headers)
         if response.status == GONE:
             raise HistoryGoneError(
--- a/tests/test_foreign_records.py
+++ b/tests/test_foreign_records.py
@@ -114,6 +114,19 @@
     assert len(rejected) == 1
 
 
+@pytest.mark.parametrize("prefix", ["op/evacuate/", "servers/"])
+def test_key_that_no_text_encoding_holds_may_end_a_page(prefix):
+    """The query for the page after an odd key raises no error that ends the process."""
+    odd = page(item(f"{prefix}\ud800", TARGET), has_more=True)
+    pages = [odd, page()] if prefix == "op/evacuate/" else [page(), odd]
+    store, rejected = make_store(
+        *((200, one) for one in pages), (200, page(item("servers/c", TARGET)))
+    )
+    listing = run_to_end(store.read_all())
+    assert [target.name for target in listing.targets] == ["c"]
+    assert rejected == [f"{prefix}\ud800"]
+
+
 def configuration_with(number: int, odd: str) -> bytes:
     """Return a configuration with text in place of one of its numbers."""
     return to_json(CONFIGURATION).replace(b": %d" % number, b": " + odd.encode())
