Pass on that a view may lack evacuations and warm-ups

A process that got its view through an earlier build sent the evacuated zones that it knew as if they were all. The next process took the view for complete, never listed the store, and ended evacuations that it had known before.

--- a/src/balsamtide/fleet/change_log.py
+++ b/src/balsamtide/fleet/change_log.py
@@ -137,6 +137,8 @@
         All evacuated availability zones, None if the sender does not know of them.
     carry_over : CarryOver or None
         What the sender keeps of an earlier era, only with a whole view.
+    is_complete : bool
+        As for `FleetView`.
     """
 
     base: int
@@ -148,6 +150,7 @@
     era: int = 0
     evacuated_zones: frozenset[str] | None = None
     carry_over: CarryOver | None = None
+    is_complete: bool = True
 
     @property
     def is_whole(self) -> bool:
@@ -207,6 +210,7 @@
                 targets=view.targets,
                 era=view.era,
                 evacuated_zones=view.evacuated_zones,
+                is_complete=view.is_complete,
             )
         targets: dict[str, FlowTarget | None] = {}
         for entry in self.entries:
@@ -221,6 +225,7 @@
             targets=targets,
             era=view.era,
             evacuated_zones=view.evacuated_zones,
+            is_complete=view.is_complete,
         )
 
     def _configuration_for(
--- a/src/balsamtide/fleet/merge.py
+++ b/src/balsamtide/fleet/merge.py
@@ -186,6 +186,9 @@
     if zones is None:
         # An earlier build does not know of evacuations.
         zones = view.evacuated_zones
+    elif not update.is_complete:
+        # Until the store is listed, too little traffic for a zone is the safe side.
+        zones |= view.evacuated_zones
     if update.is_whole:
         whole = FleetView(
             revision=update.revision,
@@ -219,7 +222,8 @@
 def _is_complete(view: FleetView, update: ViewUpdate) -> bool:
     """Whether an update, or the view that it does not change, has all evacuations."""
     is_same = (update.era, update.revision) == view.position
-    return update.evacuated_zones is not None or (is_same and view.is_complete)
+    has_all = update.evacuated_zones is not None and update.is_complete
+    return has_all or (is_same and view.is_complete)
 
 
 def _joined(view: FleetView, received: FleetView, now: float) -> FleetView:
--- a/src/balsamtide/fleet/view_codec.py
+++ b/src/balsamtide/fleet/view_codec.py
@@ -54,6 +54,8 @@
     # Earlier builds ignore the fields that they do not know.
     if update.evacuated_zones is not None:
         document["evacuated"] = sorted(update.evacuated_zones)
+    if not update.is_complete:
+        document["complete"] = False
     if update.era:
         document["era"] = update.era
     if update.carry_over is not None:
@@ -149,6 +151,7 @@
             era=int(document.get("era", 0)),
             evacuated_zones=_zones(document.get("evacuated")),
             carry_over=_carry_over(document.get("kept"), encoded_at),
+            is_complete=bool(document.get("complete", True)),
         )
     except UNUSABLE_ERRORS as error:
         raise ViewDecodeError(f"{type(error).__name__}: {error}") from error
--- a/tests/test_fleet_eras.py
+++ b/tests/test_fleet_eras.py
@@ -531,6 +531,21 @@
     assert gossip.view.is_complete
 
 
+def test_incomplete_view_stays_incomplete_at_the_next_process():
+    """What an earlier build dropped must not count as absent two processes later."""
+    earlier, gossip, last = make_earlier(2), make_gossip(3), make_gossip(4)
+    earlier.apply_store_view(with_news(make_view(5, 1, READY)), NOW)
+    pull(gossip, earlier)
+    pull(last, gossip)
+    assert last.view.revision == 5
+    assert not last.view.is_complete
+    informed = make_gossip(5, with_news(make_view(4, 1, READY)))
+    pull(informed, gossip)
+    assert informed.view.revision == 5
+    assert informed.view.evacuated_zones == {"z"}
+    assert not informed.view.is_complete
+
+
 class FixedLoads(LoadExchange):
     """Loads that do not change, and those that were received."""
 
