Don't take a revision of an earlier build with the same tag as complete

Without eras, the digest of a reader of an earlier build has the same tag before and after an evacuation. A process with the view before it raised its revision without a pull, watched the store from there, and never learnt of the evacuation; peers that had it were at the same revision, where contents are compared only with eras.

--- a/src/balsamtide/fleet/view_gossip.py
+++ b/src/balsamtide/fleet/view_gossip.py
@@ -414,7 +414,11 @@
         has_same_content = digest.content_tag == view.content_tag
         if has_same_era and has_same_content and not is_missing:
             # The revision rose without a change of the content, so no pull is needed.
-            self._set_view(view.changed(revision=digest.revision), now=now)
+            after = view.changed(revision=digest.revision)
+            if view.is_complete and not digest.understands_loads:
+                # The tag of an earlier build shows no evacuations and warm-ups.
+                after = replace(after, is_complete=False)
+            self._set_view(after, now=now)
             return self._record_confirmation(digest, now)
         return self.exchange.pull(source, position, view, now, whole=is_missing)
 
--- a/tests/test_fleet_eras.py
+++ b/tests/test_fleet_eras.py
@@ -546,6 +546,21 @@
     assert not informed.view.is_complete
 
 
+def test_same_tag_of_an_earlier_build_may_lack_an_evacuation():
+    """A revision that only evacuates a zone must not be taken over as read."""
+    plain = make_view(5, 1, READY)
+    earlier, gossip = make_earlier(2), make_gossip(3, plain)
+    earlier.apply_store_view(plain, NOW)
+    evacuated = replace(plain, revision=6, evacuated_zones=frozenset({"z"}))
+    earlier.apply_store_view(evacuated, NOW)
+    pull(gossip, earlier)
+    assert gossip.view.revision == 6
+    assert gossip.should_list(NOW + TAKEOVER_S + 1.0)
+    pull(gossip, make_gossip(4, evacuated))
+    assert gossip.view.evacuated_zones == {"z"}
+    assert gossip.view.is_complete
+
+
 class FixedLoads(LoadExchange):
     """Loads that do not change, and those that were received."""
 
