Drop a queued SYN when the target answers an earlier copy of it

A cold target that gets no SYN now has its retransmission queued, without the flow in the table. When the target answered the first copy late, the flow opened, and the queued copy was delivered after that. It replaced the open flow in the table with one that is not open, and if the target did not answer at once, its packets were sent to another agent.

--- a/src/balsamtide/flows/flow_agent.py
+++ b/src/balsamtide/flows/flow_agent.py
@@ -247,6 +247,18 @@
         if flow.client_isn is None:
             # A SYN-ACK acknowledges the SYN, which consumes one sequence number.
             flow.client_isn = (packet.acknowledgement - 1) % SEQUENCE_MODULUS
+        self._drop_answered(flow, now)
+
+    def _drop_answered(self, flow: LocalFlow, now: float) -> None:
+        """Remove a queued retransmission of a SYN that the target has answered."""
+        queued = self.queue.get(flow.key)
+        if queued is None or not queued.was_delivered:
+            return
+        if queued.packet.sequence == flow.client_isn:
+            self.queue.drop(flow.key)
+            self._record_demand(now)
+            flow.last_balancer = queued.carry.origin
+            flow.client_zone = queued.carry.client_zone
 
     def _finish_request(self, flow: LocalFlow, now: float) -> None:
         took_s = self.flows.end_request(flow, now, assumed_s=self._service_time_s())
--- a/src/balsamtide/flows/flow_queue.py
+++ b/src/balsamtide/flows/flow_queue.py
@@ -66,6 +66,8 @@
         0 is the highest.
     flow_class : FlowClass
         Route, and zone of the client.
+    was_delivered : bool
+        Whether the target got an earlier copy of the SYN, which it may still answer.
     """
 
     packet: FlowPacket
@@ -75,6 +77,7 @@
     give_up_at: float
     priority: int
     flow_class: FlowClass = UNKNOWN_CLASS
+    was_delivered: bool = False
 
     def updated_carry(self, now: float) -> Carry:
         """Return the frame with the queueing time added to ``elapsed_s``."""
--- a/src/balsamtide/flows/new_flows.py
+++ b/src/balsamtide/flows/new_flows.py
@@ -67,6 +67,7 @@
             return self._disown(packet, carry, DisownReason.NOT_HERE, now)
         key = packet.client_key
         flow = self._known_flow(key, now)
+        was_delivered = False
         if flow is not None and flow.is_syn_retransmission(packet.sequence):
             withheld = self._withheld_reason(now) or self._cold_reason(now)
             if not withheld:
@@ -75,6 +76,7 @@
             if flow.is_open or flow.target_isn is not None:
                 # The target has the flow and may have sent the SYN-ACK.
                 return [SendFrame(carry.origin, Taken(key, self.load(now)))]
+            was_delivered = True
             self.flows.drop(key)
             self.pending_handshakes.pop(key, None)
         queued = self.queue.get(key)
@@ -108,8 +110,13 @@
                 self.sink.count(OPENINGS_WITHHELD, reason=unavailable)
             return self._forward_to_peer(packet, carry, unavailable, now)
         if carry.must_take:
-            return self._deliver_or_queue(packet, carry, "told to", now)
-        return self._spill_over(packet, carry, now)
+            actions = self._deliver_or_queue(packet, carry, "told to", now)
+        else:
+            actions = self._spill_over(packet, carry, now)
+        queued = self.queue.get(key)
+        if was_delivered and queued is not None:
+            queued.was_delivered = True
+        return actions
 
     def _handle_retransmission(
         self, packet: FlowPacket, carry: Carry, flow: LocalFlow, now: float
--- a/tests/test_flow_warm_up.py
+++ b/tests/test_flow_warm_up.py
@@ -241,6 +241,23 @@
     assert not of_kind(actions, ToTarget)
 
 
+def test_late_answer_to_the_first_syn_removes_the_queued_one():
+    """A queued retransmission must not replace a flow that opened meanwhile."""
+    agent = cold_agent(cold_view(TARGETS[0]))
+    for _ in range(ALLOWANCE):
+        deliver(agent, syn_packet(1), must_take=True)
+    now = NOW + 0.8 * WINDOW_S
+    deliver(agent, syn_packet(1), now, must_take=True)
+    assert len(agent.queue) == 1
+    agent.receive_from_target(target_packet(SYN | ACK, port=1, sequence=9000), now)
+    request = client_packet(ACK, port=1, acknowledgement=9001, data=20)
+    assert of_kind(deliver(agent, request, now), ToTarget)
+    assert not of_kind(agent.tick(NOW + WINDOW_S), ToTarget)
+    (flow,) = agent.flows.flows.values()
+    assert flow.is_open
+    assert flow.request_received_at > 0.0
+
+
 def restart_unnoticed(agent, now):
     """Let the target return a packet of an open flow."""
     packet = client_packet(ACK, port=1, acknowledgement=9001, data=20)
