Reject revisions, eras and versions that no frame holds

A revision beyond 64 bits, from the store or from a peer's update, was taken into the view. The next digest raised struct.error, which ended the process.

--- a/src/balsamtide/fleet/view_codec.py
+++ b/src/balsamtide/fleet/view_codec.py
@@ -23,6 +23,8 @@
 
 # The store holds at most 1 MB of configuration; the rest is for 65,000 targets.
 MAX_UPDATE_BYTES = 16_000_000
+# Frames between processes hold signed integers of 64 bits.
+MAX_INTEGER = 2**63 - 1
 # Raised by the decoding of an update that a peer of another version may send.
 UNUSABLE_ERRORS = (
     AttributeError,
@@ -143,12 +145,12 @@
         settles_s = float(document["settles_s"])
         return ViewUpdate(
             base=int(document["base"]),
-            revision=int(document["revision"]),
+            revision=_integer(document["revision"]),
             content_tag=int(document["tag"]),
             settles_at=encoded_at + settles_s if settles_s else -inf,
             configuration=_configuration(document["configuration"]),
             targets=targets,
-            era=int(document.get("era", 0)),
+            era=_integer(document.get("era", 0)),
             evacuated_zones=_zones(document.get("evacuated")),
             carry_over=_carry_over(document.get("kept"), encoded_at),
             is_complete=bool(document.get("complete", True)),
@@ -167,6 +169,14 @@
     return text
 
 
+def _integer(value: Any) -> int:
+    """Return a number that frames between processes can hold."""
+    number = int(value)
+    if not -1 <= number <= MAX_INTEGER:
+        raise ValueError(f"a number is not from -1 to {MAX_INTEGER}")
+    return number
+
+
 def _carry_over(fields: dict[str, Any] | None, encoded_at: float) -> CarryOver | None:
     if fields is None:
         return None
@@ -202,7 +212,7 @@
     if fields is None:
         return None
     routes = dict(_route(*row) for row in fields["routes"])
-    version = int(fields["version"])
+    version = _integer(fields["version"])
     services = frozenset(fields["services"])
     idle_timeout_s = float(fields["idle_timeout_s"])
     warm_ups = _warm_ups(fields.get("warm_ups"))
--- a/src/balsamtide/platform/documents.py
+++ b/src/balsamtide/platform/documents.py
@@ -16,6 +16,7 @@
 __all__ = [
     "CONFIGURATION_KEY",
     "EVACUATION_PREFIX",
+    "MAX_INTEGER",
     "OPERATOR_PREFIX",
     "TARGET_PREFIX",
     "DocumentError",
--- a/src/balsamtide/platform/store.py
+++ b/src/balsamtide/platform/store.py
@@ -22,6 +22,7 @@
 from balsamtide.platform.documents import (
     CONFIGURATION_KEY,
     EVACUATION_PREFIX,
+    MAX_INTEGER,
     OPERATOR_PREFIX,
     TARGET_PREFIX,
     DocumentError,
@@ -38,7 +39,7 @@
 ALL_KEYS = ""
 # Number of times that the store was restored, in all of its responses.
 ERA_HEADER = b"store-era"
-# Frames between processes hold signed integers of 64 bits.
+# Digits of an era that fits into MAX_INTEGER.
 MAX_ERA_DIGITS = 18
 # A store that is restored during a listing is listed again, so many times at most.
 MAX_LISTINGS = 3
@@ -263,6 +264,8 @@
     value = response.get(name)
     if not isinstance(value, int) or isinstance(value, bool):
         raise StoreError(f"field {name!r} is not an integer: {value!r:.40}")
+    if not 0 <= value <= MAX_INTEGER:
+        raise StoreError(f"field {name!r} is not from 0 to {MAX_INTEGER}")
     return value
 
 
--- a/tests/test_foreign_records.py
+++ b/tests/test_foreign_records.py
@@ -1,5 +1,6 @@
 """Tests of odd records that another writer leaves among those of the targets."""
 
+from dataclasses import replace
 from json import dumps
 from zlib import compress
 
@@ -9,7 +10,7 @@
 
 from balsamtide.fleet.change_log import ChangeLog
 from balsamtide.fleet.merge import with_listing, with_update
-from balsamtide.fleet.store import EvacuationChange, Listing
+from balsamtide.fleet.store import EvacuationChange, Listing, StoreError
 from balsamtide.fleet.view import FleetView, FlowTarget
 from balsamtide.fleet.view_codec import ViewDecodeError, decode_update, encode_update
 from balsamtide.flows.placement import LeastLoadedPlacement
@@ -245,3 +246,21 @@
     text = dumps(document).replace('"COLD"', number)
     with pytest.raises(ViewDecodeError):
         decode_update(compress(text.encode()), encoded_at=NOW)
+
+
+@pytest.mark.parametrize("revision", [-1, 2**63, 10**30])
+def test_revision_that_no_frame_holds_is_rejected(revision):
+    """A revision beyond 64 bits must not end the process with its next digest."""
+    store, _ = make_store((200, page(revision=revision)))
+    with pytest.raises(StoreError):
+        run_to_end(store.read_all())
+
+
+@pytest.mark.parametrize("field", ["revision", "era"])
+@pytest.mark.parametrize("number", [-2, 2**63, 10**30])
+def test_position_that_no_frame_holds_is_rejected(field, number):
+    """A peer's position beyond 64 bits must not end the process with its next digest."""
+    update = ChangeLog().update_for(FleetView(revision=9), -1, -1)
+    data = encode_update(replace(update, **{field: number}), now=NOW)
+    with pytest.raises(ViewDecodeError):
+        decode_update(data, encoded_at=NOW)
