Bound the grace time that a peer states for what it keeps

An infinite, very long or undefined end kept a zone of an earlier era evacuated for good, since the comparison with the local time never held.

--- a/src/balsamtide/fleet/view_codec.py
+++ b/src/balsamtide/fleet/view_codec.py
@@ -4,13 +4,14 @@
 """
 
 from json import dumps, loads
-from math import inf
+from math import inf, isfinite
 from typing import Any
 from zlib import compress, decompressobj
 from zlib import error as ZlibError
 
 from balsamtide.fleet.carry_over import CarryOver
 from balsamtide.fleet.change_log import RouteChanges, ViewUpdate
+from balsamtide.fleet.merge import LAPSE_GRACE_S
 from balsamtide.fleet.view import (
     FlowConfiguration,
     FlowRoute,
@@ -181,8 +182,11 @@
     if fields is None:
         return None
     targets = [_target(row, encoded_at) for row in fields["targets"]]
+    ends_s = float(fields["ends_s"])
+    if not isfinite(ends_s):
+        raise ValueError("the end of a grace time is not a finite number")
     return CarryOver(
-        ends_at=encoded_at + float(fields["ends_s"]),
+        ends_at=encoded_at + min(ends_s, LAPSE_GRACE_S),
         targets={target.name: target for target in targets},
         evacuated_zones=_zones(fields["evacuated"]) or frozenset(),
     )
--- a/tests/test_foreign_records.py
+++ b/tests/test_foreign_records.py
@@ -2,14 +2,16 @@
 
 from dataclasses import replace
 from json import dumps
+from math import inf, nan
 from zlib import compress
 
 import pytest
 from hypothesis import example, given
 from hypothesis import strategies as st
 
+from balsamtide.fleet.carry_over import CarryOver
 from balsamtide.fleet.change_log import ChangeLog
-from balsamtide.fleet.merge import with_listing, with_update
+from balsamtide.fleet.merge import LAPSE_GRACE_S, with_listing, with_update
 from balsamtide.fleet.store import EvacuationChange, Listing, StoreError
 from balsamtide.fleet.view import FleetView, FlowTarget
 from balsamtide.fleet.view_codec import ViewDecodeError, decode_update, encode_update
@@ -264,3 +266,16 @@
     data = encode_update(replace(update, **{field: number}), now=NOW)
     with pytest.raises(ViewDecodeError):
         decode_update(data, encoded_at=NOW)
+
+
+@pytest.mark.parametrize("ends_s", [nan, inf, 1e9])
+def test_grace_time_of_a_peer_ends(ends_s):
+    """An odd end of a grace time must not keep a zone evacuated for good."""
+    kept = CarryOver(ends_at=NOW + ends_s, targets={}, evacuated_zones=frozenset("z"))
+    update = ChangeLog().update_for(FleetView(revision=9, era=2), -1, -1)
+    data = encode_update(replace(update, carry_over=kept), now=NOW)
+    try:
+        decoded = decode_update(data, encoded_at=NOW).carry_over
+    except ViewDecodeError:
+        return
+    assert decoded.ends_at <= NOW + LAPSE_GRACE_S
