--- a/tests/test_foreign_records.py
+++ b/tests/test_foreign_records.py
@@ -261,7 +261,7 @@
 @pytest.mark.parametrize("field", ["revision", "era"])
 @pytest.mark.parametrize("number", [-2, 2**63, 10**30])
 def test_position_that_no_frame_holds_is_rejected(field, number):
-    """A peer's position beyond 64 bits must not end the process with its next digest."""
+    """A peer's position beyond 64 bits must not end the process with a digest."""
     update = ChangeLog().update_for(FleetView(revision=9), -1, -1)
     data = encode_update(replace(update, **{field: number}), now=NOW)
     with pytest.raises(ViewDecodeError):
