Pass what is kept of an earlier era to processes that list the restored store

A process whose first view was a listing in the grace time had the same shared view as its peers, so that it pulled nothing. It did not know the evacuations that the backup lacks and the others kept, and let new flows open in those zones.

--- a/src/balsamtide/fleet/view_gossip.py
+++ b/src/balsamtide/fleet/view_gossip.py
@@ -128,6 +128,9 @@
         # Since when evacuations and warm-ups may be missing.
         self.incomplete_since = inf
         self.resolve_at = now
+        # Until when peers may keep something of an earlier era that this process can't
+        # know, since its first view came from the store.
+        self.lacks_kept_until = -inf
         # When forgotten targets were last removed.
         self.pruned_at = -inf
 
@@ -229,6 +232,8 @@
         # All processes read once at their start; only a later read makes a reader.
         if not is_first:
             self.local_claim_at = now
+        elif view.era > 0:
+            self.lacks_kept_until = now + LAPSE_GRACE_S
         return self._announce_update(now)
 
     def withdraw_claim(self) -> None:
@@ -276,6 +281,8 @@
             carry_over = CarryOver.between(self.view, view, ends_at).joined(received)
         elif carry_over is not None:
             carry_over = carry_over.joined(received)
+        elif now < self.lacks_kept_until:
+            carry_over = received
         if carry_over is None or now >= carry_over.ends_at:
             return None
         return carry_over.reduced(view)
@@ -326,9 +333,12 @@
             return actions
         before = self.shared_view
         view, received, actions = self.exchange.apply(download, before, now)
-        if view is before:
+        is_kept_news = received is not None and now < self.lacks_kept_until
+        if view is before and not is_kept_news:
             return actions
         self._set_view(view, now=now, received=received)
+        if is_kept_news:
+            self.lacks_kept_until = -inf
         self.confirmed_at = max(self.confirmed_at, download.confirmed_at)
         return actions + self._announce_update(now)
 
@@ -369,12 +379,15 @@
     ) -> list[Action]:
         """Pull the whole view if a peer's contents differ at the same position.
 
+        The same if the peer may keep something of an earlier era.
+
         Without eras, only an update of an earlier build leaves such a difference.
         """
         view = self.shared_view
         differs = view.era > 0 and digest.content_tag != view.content_tag
         is_missing = not view.is_complete and digest.understands_loads
-        if now < self.resolve_at or not (differs or is_missing):
+        lacks_kept = now < self.lacks_kept_until and digest.settles_s > 0
+        if now < self.resolve_at or not (differs or is_missing or lacks_kept):
             return []
         self.resolve_at = now + RESOLVE_GAP_S
         return self.exchange.pull(source, view.position, view, now, whole=True)
--- a/tests/test_fleet_eras.py
+++ b/tests/test_fleet_eras.py
@@ -287,6 +287,27 @@
     assert not joiner.view.evacuated_zones
 
 
+def test_process_that_lists_in_the_grace_time_gets_what_is_kept():
+    """A process whose first view is the restored store must not open a kept zone."""
+    zone = frozenset({"z"})
+    view = in_era(1, replace(make_view(90, 3, READY), evacuated_zones=zone))
+    listing = Listing(40, make_configuration(3), (READY,), 2)
+    source = restored("listing", view, listing)
+    read = with_listing(FleetView(), listing, grace_until=-inf, now=NOW)
+    fresh = make_gossip(2, read)
+    assert not fresh.view.evacuated_zones
+    pull(fresh, source)
+    assert fresh.view.evacuated_zones == zone
+    assert not fresh.shared_view.evacuated_zones
+    assert fresh.shared_view.position == (2, 40)
+    # It asks once.
+    digest = source._make_digest(NOW, True)
+    actions = fresh.receive(digest, source.host, NOW + RESOLVE_GAP_S)
+    assert not any(isinstance(action.frame, PullRequest) for action in actions)
+    fresh.tick(AFTER)
+    assert not fresh.view.evacuated_zones
+
+
 def test_two_readers_in_different_eras_agree():
     """Readers of two eras end in the later one, with the later configuration.
 
