--- a/src/balsamtide/fleet/view_codec.py
+++ b/src/balsamtide/fleet/view_codec.py
@@ -4,13 +4,14 @@
 """
 
 from json import dumps, loads
-from math import inf
+from math import inf, isfinite
 from typing import Any
 from zlib import compress, decompressobj
 from zlib import error as ZlibError
 
 from balsamtide.fleet.carry_over import CarryOver
 from balsamtide.fleet.change_log import RouteChanges, ViewUpdate
+from balsamtide.fleet.merge import LAPSE_GRACE_S
 from balsamtide.fleet.view import (
     FlowConfiguration,
     FlowRoute,
@@ -23,6 +24,8 @@
 
 # The store holds at most 1 MB of configuration; the rest is for 65,000 targets.
 MAX_UPDATE_BYTES = 16_000_000
+# Frames between processes hold signed integers of 64 bits.
+MAX_INTEGER = 2**63 - 1
 # Raised by the decoding of an update that a peer of another version may send.
 UNUSABLE_ERRORS = (
     AttributeError,
@@ -54,6 +57,8 @@
     # Earlier builds ignore the fields that they do not know.
     if update.evacuated_zones is not None:
         document["evacuated"] = sorted(update.evacuated_zones)
+    if not update.is_complete:
+        document["complete"] = False
     if update.era:
         document["era"] = update.era
     if update.carry_over is not None:
@@ -141,14 +146,15 @@
         settles_s = float(document["settles_s"])
         return ViewUpdate(
             base=int(document["base"]),
-            revision=int(document["revision"]),
+            revision=_integer(document["revision"]),
             content_tag=int(document["tag"]),
             settles_at=encoded_at + settles_s if settles_s else -inf,
             configuration=_configuration(document["configuration"]),
             targets=targets,
-            era=int(document.get("era", 0)),
+            era=_integer(document.get("era", 0)),
             evacuated_zones=_zones(document.get("evacuated")),
             carry_over=_carry_over(document.get("kept"), encoded_at),
+            is_complete=bool(document.get("complete", True)),
         )
     except UNUSABLE_ERRORS as error:
         raise ViewDecodeError(f"{type(error).__name__}: {error}") from error
@@ -164,12 +170,23 @@
     return text
 
 
+def _integer(value: Any) -> int:
+    """Return a number that frames between processes can hold."""
+    number = int(value)
+    if not -1 <= number <= MAX_INTEGER:
+        raise ValueError(f"a number is not from -1 to {MAX_INTEGER}")
+    return number
+
+
 def _carry_over(fields: dict[str, Any] | None, encoded_at: float) -> CarryOver | None:
     if fields is None:
         return None
     targets = [_target(row, encoded_at) for row in fields["targets"]]
+    ends_s = float(fields["ends_s"])
+    if not isfinite(ends_s):
+        raise ValueError("the end of a grace time is not a finite number")
     return CarryOver(
-        ends_at=encoded_at + float(fields["ends_s"]),
+        ends_at=encoded_at + min(ends_s, LAPSE_GRACE_S),
         targets={target.name: target for target in targets},
         evacuated_zones=_zones(fields["evacuated"]) or frozenset(),
     )
@@ -199,7 +216,7 @@
     if fields is None:
         return None
     routes = dict(_route(*row) for row in fields["routes"])
-    version = int(fields["version"])
+    version = _integer(fields["version"])
     services = frozenset(fields["services"])
     idle_timeout_s = float(fields["idle_timeout_s"])
     warm_ups = _warm_ups(fields.get("warm_ups"))
--- a/tests/test_fleet_eras.py
+++ b/tests/test_fleet_eras.py
@@ -287,6 +287,27 @@
     assert not joiner.view.evacuated_zones
 
 
+def test_process_that_lists_in_the_grace_time_gets_what_is_kept():
+    """A process whose first view is the restored store must not open a kept zone."""
+    zone = frozenset({"z"})
+    view = in_era(1, replace(make_view(90, 3, READY), evacuated_zones=zone))
+    listing = Listing(40, make_configuration(3), (READY,), 2)
+    source = restored("listing", view, listing)
+    read = with_listing(FleetView(), listing, grace_until=-inf, now=NOW)
+    fresh = make_gossip(2, read)
+    assert not fresh.view.evacuated_zones
+    pull(fresh, source)
+    assert fresh.view.evacuated_zones == zone
+    assert not fresh.shared_view.evacuated_zones
+    assert fresh.shared_view.position == (2, 40)
+    # It asks once.
+    digest = source._make_digest(NOW, True)
+    actions = fresh.receive(digest, source.host, NOW + RESOLVE_GAP_S)
+    assert not any(isinstance(action.frame, PullRequest) for action in actions)
+    fresh.tick(AFTER)
+    assert not fresh.view.evacuated_zones
+
+
 def test_two_readers_in_different_eras_agree():
     """Readers of two eras end in the later one, with the later configuration.
 
@@ -531,6 +552,36 @@
     assert gossip.view.is_complete
 
 
+def test_incomplete_view_stays_incomplete_at_the_next_process():
+    """What an earlier build dropped must not count as absent two processes later."""
+    earlier, gossip, last = make_earlier(2), make_gossip(3), make_gossip(4)
+    earlier.apply_store_view(with_news(make_view(5, 1, READY)), NOW)
+    pull(gossip, earlier)
+    pull(last, gossip)
+    assert last.view.revision == 5
+    assert not last.view.is_complete
+    informed = make_gossip(5, with_news(make_view(4, 1, READY)))
+    pull(informed, gossip)
+    assert informed.view.revision == 5
+    assert informed.view.evacuated_zones == {"z"}
+    assert not informed.view.is_complete
+
+
+def test_same_tag_of_an_earlier_build_may_lack_an_evacuation():
+    """A revision that only evacuates a zone must not be taken over as read."""
+    plain = make_view(5, 1, READY)
+    earlier, gossip = make_earlier(2), make_gossip(3, plain)
+    earlier.apply_store_view(plain, NOW)
+    evacuated = replace(plain, revision=6, evacuated_zones=frozenset({"z"}))
+    earlier.apply_store_view(evacuated, NOW)
+    pull(gossip, earlier)
+    assert gossip.view.revision == 6
+    assert gossip.should_list(NOW + TAKEOVER_S + 1.0)
+    pull(gossip, make_gossip(4, evacuated))
+    assert gossip.view.evacuated_zones == {"z"}
+    assert gossip.view.is_complete
+
+
 class FixedLoads(LoadExchange):
     """Loads that do not change, and those that were received."""
 
--- a/tests/test_foreign_records.py
+++ b/tests/test_foreign_records.py
@@ -1,15 +1,18 @@
 """Tests of odd records that another writer leaves among those of the targets."""
 
+from dataclasses import replace
 from json import dumps
+from math import inf, nan
 from zlib import compress
 
 import pytest
 from hypothesis import example, given
 from hypothesis import strategies as st
 
+from balsamtide.fleet.carry_over import CarryOver
 from balsamtide.fleet.change_log import ChangeLog
-from balsamtide.fleet.merge import with_listing, with_update
-from balsamtide.fleet.store import EvacuationChange, Listing
+from balsamtide.fleet.merge import LAPSE_GRACE_S, with_listing, with_update
+from balsamtide.fleet.store import EvacuationChange, Listing, StoreError
 from balsamtide.fleet.view import FleetView, FlowTarget
 from balsamtide.fleet.view_codec import ViewDecodeError, decode_update, encode_update
 from balsamtide.flows.placement import LeastLoadedPlacement
@@ -114,6 +117,19 @@
     assert len(rejected) == 1
 
 
+@pytest.mark.parametrize("prefix", ["op/evacuate/", "servers/"])
+def test_key_that_no_text_encoding_holds_may_end_a_page(prefix):
+    """The query for the page after an odd key raises no error that ends the process."""
+    odd = page(item(f"{prefix}\ud800", TARGET), has_more=True)
+    pages = [odd, page()] if prefix == "op/evacuate/" else [page(), odd]
+    store, rejected = make_store(
+        *((200, one) for one in pages), (200, page(item("servers/c", TARGET)))
+    )
+    listing = run_to_end(store.read_all())
+    assert [target.name for target in listing.targets] == ["c"]
+    assert rejected == [f"{prefix}\ud800"]
+
+
 def configuration_with(number: int, odd: str) -> bytes:
     """Return a configuration with text in place of one of its numbers."""
     return to_json(CONFIGURATION).replace(b": %d" % number, b": " + odd.encode())
@@ -232,3 +248,34 @@
     text = dumps(document).replace('"COLD"', number)
     with pytest.raises(ViewDecodeError):
         decode_update(compress(text.encode()), encoded_at=NOW)
+
+
+@pytest.mark.parametrize("revision", [-1, 2**63, 10**30])
+def test_revision_that_no_frame_holds_is_rejected(revision):
+    """A revision beyond 64 bits must not end the process with its next digest."""
+    store, _ = make_store((200, page(revision=revision)))
+    with pytest.raises(StoreError):
+        run_to_end(store.read_all())
+
+
+@pytest.mark.parametrize("field", ["revision", "era"])
+@pytest.mark.parametrize("number", [-2, 2**63, 10**30])
+def test_position_that_no_frame_holds_is_rejected(field, number):
+    """A peer's position beyond 64 bits must not end the process with a digest."""
+    update = ChangeLog().update_for(FleetView(revision=9), -1, -1)
+    data = encode_update(replace(update, **{field: number}), now=NOW)
+    with pytest.raises(ViewDecodeError):
+        decode_update(data, encoded_at=NOW)
+
+
+@pytest.mark.parametrize("ends_s", [nan, inf, 1e9])
+def test_grace_time_of_a_peer_ends(ends_s):
+    """An odd end of a grace time must not keep a zone evacuated for good."""
+    kept = CarryOver(ends_at=NOW + ends_s, targets={}, evacuated_zones=frozenset("z"))
+    update = ChangeLog().update_for(FleetView(revision=9, era=2), -1, -1)
+    data = encode_update(replace(update, carry_over=kept), now=NOW)
+    try:
+        decoded = decode_update(data, encoded_at=NOW).carry_over
+    except ViewDecodeError:
+        return
+    assert decoded.ends_at <= NOW + LAPSE_GRACE_S
