Send loads with periodic digests only

Updates of the view are announced up to 25 times a second to three peers each; with 16 loads a digest grows from 47 to 175 octets, so that a release would take 13 KB/s of announcements.

--- a/src/balsamtide/fleet/view_gossip.py
+++ b/src/balsamtide/fleet/view_gossip.py
@@ -360,9 +360,7 @@
             actions = self._record_confirmation(digest, now)
             actions += self._resolve_difference(digest, source, now)
         if not digest.is_reply and self._is_peer_behind(digest, position, now):
-            loads = self._outgoing_loads((source,), now)
-            reply = self._make_digest(now, True)
-            actions.append(self._send_digest(source, reply, loads))
+            actions.append(SendFrame(source, self._make_digest(now, True)))
         return actions
 
     def _record_loads(self, digest: Digest, source: int, now: float) -> None:
@@ -476,7 +474,8 @@
         period_s = DIGEST_PERIOD_S if has_view else JOIN_DIGEST_PERIOD_S
         self.digest_at = now + period_s * self.random.uniform(0.8, 1.2)
         self._expire(now)
-        return actions + self._send_digests(1 if has_view else UPDATE_FANOUT, now)
+        count = 1 if has_view else UPDATE_FANOUT
+        return actions + self._send_digests(count, now, with_loads=True)
 
     def _expire(self, now: float) -> None:
         self.peers = {h: t for h, t in self.peers.items() if now < t + PEER_LEASE_S}
@@ -493,11 +492,17 @@
         self.update_at = now + UPDATE_GAP_S
         return self._send_digests(UPDATE_FANOUT, now)
 
-    def _send_digests(self, count: int, now: float) -> list[Action]:
+    def _send_digests(
+        self, count: int, now: float, *, with_loads: bool = False
+    ) -> list[Action]:
+        """Send digests to random peers, with loads only where the rate is fixed.
+
+        Updates follow each other quickly in a release; loads would triple their size.
+        """
         hosts = self.known_hosts(now)
         chosen = self.random.sample(hosts, min(count, len(hosts)))
         digest = self._make_digest(now, False)
-        loads = self._outgoing_loads(chosen, now)
+        loads = self._outgoing_loads(chosen, now) if with_loads else ()
         return [self._send_digest(host, digest, loads) for host in chosen]
 
     def _send_digest(self, host: int, digest: Digest, loads: Loads) -> SendFrame:
