--- a/src/balsamtide/fleet/view_gossip.py
+++ b/src/balsamtide/fleet/view_gossip.py
@@ -105,14 +105,15 @@
         self.loads = loads
         self.set_seeds(seeds)
         self.random = random
-        # The view that decisions follow.
+        # Decisions follow `view`.  Peers compare `shared_view`, which differs from it
+        # only while something of an earlier era is kept in `carry_over`; `store_view`
+        # holds the shared view then.
         self.view = FleetView()
-        # While something is kept of an earlier era, the view without it.
         self.store_view = FleetView()
         self.carry_over: CarryOver | None = None
         self.confirmed_at = -inf
         self.peers: dict[int, float] = {}
-        # Peers that accept loads with digests.
+        # Peers that accept loads with digests, and so know eras and evacuations.
         self.load_peers: set[int] = set()
         self.readers: dict[int, float] = {}
         self.has_seen_reader = False
--- a/src/balsamtide/flows/fair_share.py
+++ b/src/balsamtide/flows/fair_share.py
@@ -47,7 +47,7 @@
 MIN_FREE_RATIO = 0.05
 
 
-# Key of a new flow among queued ones.
+# Key of a new flow among queued ones, whose keys are never empty.
 NEWCOMER = b""
 
 
@@ -236,7 +236,9 @@
     def choose_next(self, entries: Mapping[bytes, QueuedFlow], now: float) -> bytes:
         """Return the flow to deliver next."""
         guaranteed = self.choose_guaranteed(entries, now)
-        return guaranteed or super().choose_next(entries, now)
+        if guaranteed is not None:
+            return guaranteed
+        return super().choose_next(entries, now)
 
     def choose_guaranteed(
         self, entries: Mapping[bytes, QueuedFlow], now: float
