Keep targets for the grace time when a reader takes over unseen

The readers that had seen an outage of the store were killed; the next one took lapsed records for targets that had left. A process that takes over since nobody confirmed the view now assumes an outage since the last confirmation. The test failed before for views that were not confirmed for 1.46 s and 4 s.

--- a/src/balsamtide/fleet/view_gossip.py
+++ b/src/balsamtide/fleet/view_gossip.py
@@ -196,6 +196,13 @@
         timeout_s = TAKEOVER_S if self.has_seen_reader else FIRST_TAKEOVER_S
         return self.age(now) > timeout_s + self._takeover_delay(now)
 
+    def is_unread(self, now: float) -> bool:
+        """Whether a known view was not confirmed within the time of a takeover.
+
+        The store may have been unavailable meanwhile, and back since.
+        """
+        return self.view.revision >= 0 and TAKEOVER_S < self.age(now) < inf
+
     def should_list(self, now: float) -> bool:
         """Whether the store should be listed for what earlier builds do not pass on.
 
--- a/src/balsamtide/flow_node/store_reader.py
+++ b/src/balsamtide/flow_node/store_reader.py
@@ -99,6 +99,10 @@
         self.sink.event(STORE_READING, is_reader=should_read)
         if not should_read:
             self.gossip.withdraw_claim()
+        elif self.outage_started_at == inf and self.gossip.is_unread(current_time()):
+            # The process that saw the start of an outage may be gone.  Without a grace
+            # time, live targets whose records lapsed would count as gone.
+            self.outage_started_at = self.gossip.confirmed_at
 
     async def _read(self) -> None:
         try:
--- a/tests/test_store_reader.py
+++ b/tests/test_store_reader.py
@@ -5,15 +5,17 @@
 from random import Random
 
 import pytest
-from trio import run
+from trio import current_time, run
 from trio.testing import MockClock
 
+from balsamtide.fleet.view import TargetState
 from balsamtide.fleet.view_gossip import ViewGossip
 from balsamtide.flow_node.http import BaseHttpClient, HttpResponse
 from balsamtide.flow_node.http_connection import MAX_BODY_BYTES, HttpConnection
 from balsamtide.flow_node.store_reader import StoreReader
 from balsamtide.platform.store import PlatformStore
 from balsamtide.telemetry.memory_sink import MemorySink
+from tests.fakes_packets import TARGETS, make_view
 from tests.fakes_platform import CONFIGURATION, item, to_json
 
 
@@ -186,3 +188,30 @@
     assert client.calls == ["watch", "watch"]
     assert reader.gossip.view.position == (0, 12)
     assert reader.gossip.view.configuration.version == 8
+
+
+@pytest.mark.parametrize(
+    ("age_s", "state"),
+    [(0.5, None), (1.39, None), (1.46, TargetState.LAPSED), (4.0, TargetState.LAPSED)],
+)
+def test_reader_that_takes_over_keeps_targets_that_lapsed_unseen(age_s, state):
+    """Targets count as gone only if the store can't have been unavailable before.
+
+    All processes that had seen the outage were killed (soak, seed 415): the next
+    reader took the lapsed records for targets that had left, and open flows were reset.
+    """
+    removal = {"key": "servers/i-0", "rev": 10, "removed": True}
+    client = StoreOfItems(to_json({"events": [removal], "storeRevision": 10}))
+    reader = make_reader(client)
+    gossip = reader.gossip
+    gossip.has_seen_reader = True
+
+    async def take_over() -> None:
+        gossip.view = make_view(TARGETS[0])
+        gossip.confirmed_at = current_time() - age_s
+        reader._set_reading(True)
+        await reader._read()
+
+    run(take_over, clock=MockClock(autojump_threshold=0))
+    target = gossip.view.targets.get("i-0")
+    assert (target.state if target else None) is state
