--- a/src/balsamtide/flows/agent_state.py
+++ b/src/balsamtide/flows/agent_state.py
@@ -4,7 +4,7 @@
 from math import inf
 from typing import TYPE_CHECKING, Any
 
-from balsamtide.fleet.view import FlowTarget, WarmUp
+from balsamtide.fleet.view import FlowConfiguration, FlowTarget, WarmUp
 from balsamtide.fleet.view_gossip import ViewGossip
 from balsamtide.flows.evacuation import ZoneEvacuation
 from balsamtide.flows.events import TARGET_COLD
@@ -163,6 +163,9 @@
     def set_service(self, service: str) -> None:
         """Set the service of the target after a change of the settings."""
         self.service = service
+        # Configuration from which the initial service time was computed.
+        self.assumed_from: FlowConfiguration | None = None
+        self.assumed_service_time_s = 0.0
         self.service_tag = service_tag(service)
 
     # The target
@@ -308,12 +311,19 @@
         """Return the mean service time, initially a fraction of the objective."""
         if self.flows.service_time_s:
             return self.flows.service_time_s
-        objectives = [
-            route.objective_s
-            for route in self.view.configuration.routes.values()
-            if any(service == self.service for service, _ in route.shares)
-        ]
-        return INITIAL_SERVICE_TIME_RATIO * min(objectives, default=0.0)
+        configuration = self.view.configuration
+        if configuration is not self.assumed_from:
+            # Kept, since it is asked for with each packet and a configuration may have
+            # thousands of routes.
+            self.assumed_from = configuration
+            objectives = [
+                route.objective_s
+                for route in configuration.routes.values()
+                if any(service == self.service for service, _ in route.shares)
+            ]
+            shortest_s = min(objectives, default=0.0)
+            self.assumed_service_time_s = INITIAL_SERVICE_TIME_RATIO * shortest_s
+        return self.assumed_service_time_s
 
     def _enabled_fair_share(self) -> FairShareOrder | None:
         """Return the fair shares if the configuration in force enables them."""
