--- a/src/balsamtide/flows/fair_share.py
+++ b/src/balsamtide/flows/fair_share.py
@@ -22,8 +22,8 @@
 
 __all__ = ["ClassDecision", "FairShareOrder", "ServedTime", "has_several_priorities"]
 
-# Part of an equal share that each class with queued flows keeps; what a higher one costs
-# the other classes is in docs/design/competing-callers.md.
+# Part of an equal share that each class with queued flows keeps; what a higher one
+# costs the other classes is in docs/design/competing-callers.md.
 MIN_SHARE_RATIO = 0.75
 # Time constant of the served time.  It spans several tens of requests of a slot, so
 # that one slow request does not decide, and is about the timeout of a request, so that
