--- a/src/balsamtide/flows/shared_load_placement.py
+++ b/src/balsamtide/flows/shared_load_placement.py
@@ -22,8 +22,8 @@
 __all__ = ["SharedLoadPlacement"]
 
 # Weight of a target in another zone, relative to one in this zone with the same free
-# capacity, while no flows have to leave.  With 0.02 fewer flows cross, but the few home
-# targets in the zone get all flows even if they are loaded, and more requests are late.
+# capacity, while no flows have to leave.  Above 0, so that the few home targets in the
+# zone do not get all flows even if they are loaded.
 OTHER_ZONE_WEIGHT = 0.1
 # Power of the expected free capacity by which a target is weighted.  Most of a target's
 # load stays from earlier flows, so that new flows have to differ more than the loads.
--- a/src/balsamtide/flows/zone_share.py
+++ b/src/balsamtide/flows/zone_share.py
@@ -13,8 +13,8 @@
 # others.  While a wave lasts, the flows that left keep the difference close to 0.
 RETURN_DIFFERENCE = -0.05
 # Change of the share per second and difference.  Flows that leave change the difference
-# by up to 0.7 of the share, which reports show 1 to 2 s later.  With twice this gain,
-# the share swings if loads are 2 s old.
+# by up to 0.7 of the share, which reports show 1 to 2 s later; the share must not swing
+# meanwhile.
 GAIN_PER_S = 0.5
 # Decrease of the share per second, of which one return takes several seconds.
 RETURN_PER_S = 0.2
