--- a/review/standins2/fleet.py
+++ b/review/standins2/fleet.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 from socket import AF_INET, SOCK_DGRAM, SOCK_STREAM
 from socket import socket as Socket
+from threading import Lock
 from time import monotonic, sleep
 
 from review.standins2.store import Store
@@ -103,6 +104,8 @@
         self.bounds = bounds or {}
         self.addresses: dict[str, str] = {}
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.is_closed = False
+        self.lock = Lock()
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
         self.roles = {role["on"]: role for role in deploy["roles"].values()}
 
@@ -123,7 +126,9 @@
             "BALSAMTIDE_SETTINGS": str(path),
             "BALSAMTIDE_METRICS_PORT": str(self.ports["metrics"]),
         }
-        with (self.folder / f"{host}.log").open("ab") as log:
+        with self.lock, (self.folder / f"{host}.log").open("ab") as log:
+            if self.is_closed:
+                return
             self.processes[host] = subprocess.Popen(
                 command, cwd=ROOT, env=environment, stdout=log, stderr=log
             )
@@ -187,11 +192,13 @@
     def end(self, host: str, number: int) -> None:
         """Send a signal to a process and wait until it has ended."""
         self.signal(host, number)
-        code = self.processes.pop(host).wait(STOP_TIMEOUT_S)
+        code = self.processes[host].wait(STOP_TIMEOUT_S)
         self.log(f"{host}: process ended with {code}")
 
     def close(self) -> None:
         """End all processes that are left."""
+        with self.lock:
+            self.is_closed = True
         for process in self.processes.values():
             process.send_signal(signal.SIGCONT)
             process.kill()
